--- /dev/null
+++ b/checkcmd.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/state/settings"
+)
+
+// A checkCommand checks settings files and sheets without using them.
+type checkCommand struct {
+	streams
+	defaults bool
+}
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check settings files and sheets" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return "check [-defaults] FILE...\n\nFiles that end in .yaml or .yml are settings, all others sheets.\n\n" +
+		"Example:\n  hawthornrock check examples/utility/entry-1.yaml examples/utility/sheet.csv\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.defaults, "defaults", false, "print the default settings")
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.defaults {
+		return c.printDefaults()
+	}
+	if f.NArg() == 0 {
+		return c.fail(exitUsage, errors.New("at least one file is expected"))
+	}
+	code := exitOK
+	for _, file := range f.Args() {
+		if err := c.check(file); err != nil {
+			code = c.fail(exitUsage, err)
+		}
+	}
+	return code
+}
+
+// check checks one file.
+func (c *checkCommand) check(file string) error {
+	if ext := strings.ToLower(filepath.Ext(file)); ext == ".yaml" || ext == ".yml" {
+		if _, err := settings.Read(file); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.out, "%s: settings are valid\n", file)
+		return nil
+	}
+	var (
+		deployments []fleet.Deployment
+		err         error
+	)
+	if deployments, err = readSheet(file); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s: %d deployments\n", file, len(deployments))
+	return nil
+}
+
+// printDefaults prints the default settings.
+func (c *checkCommand) printDefaults() subcommands.ExitStatus {
+	var (
+		text []byte
+		err  error
+	)
+	if text, err = settings.Default().Text(); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	fmt.Fprintf(c.out, "%s", text)
+	return exitOK
+}
--- /dev/null
+++ b/coordination/control/core.go
@@ -0,0 +1,422 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/configuration"
+	"github.com/hawthornrock/hawthornrock/coordination/freshness"
+	"github.com/hawthornrock/hawthornrock/coordination/lease"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+)
+
+// Bounds are the times and counts that the control state is judged by.
+type Bounds struct {
+	Freshness        freshness.Bounds
+	Lease            lease.Terms
+	ReportAge        time.Duration
+	DeadAfter        time.Duration
+	PeerForget       time.Duration
+	SnapshotInterval time.Duration
+}
+
+// A Self is what a daemon knows of itself from its settings.
+type Self struct {
+	Daemon        string
+	Incarnation   string
+	FailureDomain string
+	CallerAddress string
+	Weight        int
+}
+
+// A sighting is what the daemon knows of one instance.
+type sighting struct {
+	instance   fleet.Instance
+	report     fleet.Report
+	reportedAt time.Time
+	refused    bool
+	ordered    map[string]time.Time
+}
+
+// A peer is another daemon as this one last heard it.
+type peer struct {
+	heartbeat Heartbeat
+	heardAt   time.Time
+}
+
+// A Core is the control state of one daemon. Make one with New. It is not safe
+// for concurrent use.
+type Core struct {
+	self   Self
+	bounds Bounds
+
+	config     configuration.State
+	configNext uint64
+	held       []Entry
+	snapshot   snapshotStanding
+	keeper     lease.Keeper
+	fresh      freshness.State
+	leaving    bool
+	instances  map[string]*sighting
+	peers      map[string]*peer
+	sequence   uint64
+	domainTerm map[string]termStart
+}
+
+// A termStart is when this daemon first acted under a term.
+type termStart struct {
+	term  uint64
+	since time.Time
+}
+
+// A snapshotStanding is the newest configuration snapshot that was read or asked
+// for, and when.
+type snapshotStanding struct {
+	offset uint64
+	at     time.Time
+}
+
+// New returns the control state of a daemon that has just started.
+func New(self Self, bounds Bounds) *Core {
+	return &Core{
+		self:       self,
+		bounds:     bounds,
+		keeper:     lease.Keeper{Self: self.Daemon + "#" + self.Incarnation, Terms: bounds.Lease},
+		fresh:      freshness.State{Peers: make(map[string]freshness.Peer)},
+		instances:  make(map[string]*sighting),
+		peers:      make(map[string]*peer),
+		domainTerm: make(map[string]termStart),
+	}
+}
+
+// Configuration returns the configuration that this daemon has in force.
+func (c *Core) Configuration() configuration.State { return c.config }
+
+// Step folds event at now and returns what to do.
+func (c *Core) Step(now time.Time, event Event) []Command {
+	switch e := event.(type) {
+	case LogRead:
+		c.logRead(now, e)
+	case LogFailed:
+		c.fresh.LogDown = true
+	case AppendDone:
+		c.appendDone(e)
+	case Listed:
+		c.listed(e)
+	case Reported:
+		c.reported(e)
+	case ReportFailed:
+		c.reportFailed(e)
+	case OrderDone:
+		c.orderDone(now, e)
+	case PeerHeard:
+		c.peerHeard(now, e.Heartbeat)
+	case Leave:
+		c.leaving = true
+	case Tick:
+		return c.tick(now)
+	}
+	return nil
+}
+
+// View returns the snapshot of the control state for traffic.
+func (c *Core) View(now time.Time) *View {
+	mode, until := c.fresh.Until(now, c.bounds.Freshness)
+	v := &View{
+		Configuration: c.config,
+		Mode:          mode,
+		FreshUntil:    until,
+		Leaving:       c.leaving,
+		Daemons:       c.daemons(now),
+		Replicas:      make(map[string][]Replica),
+		Services:      c.services(),
+		Entries:       c.entries(now),
+		Peers:         c.peerViews(now),
+	}
+	for _, domain := range c.domainsByName() {
+		l := c.keeper.Lease(domain)
+		v.Leases = append(v.Leases, LeaseView{FailureDomain: domain, Holder: l.Holder, Term: l.Term})
+	}
+	c.viewReplicas(now, v)
+	return v
+}
+
+// appendDone forgets a lease claim whose append surely failed.
+func (c *Core) appendDone(e AppendDone) {
+	if e.Err != nil && e.Append.Entry.Lease != nil {
+		c.keeper.Drop(e.Append.Entry.Lease.Scope)
+	}
+}
+
+// applyChange folds one configuration record.
+func (c *Core) applyChange(offset uint64, record configuration.Record) {
+	c.config, _ = c.config.Apply(offset, record)
+}
+
+// daemons returns how many daemons this one counts as live, itself included.
+func (c *Core) daemons(now time.Time) int {
+	n := 1
+	for _, p := range c.peers {
+		if now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// entries returns the entry instances that callers may use.
+func (c *Core) entries(now time.Time) []EntryAddress {
+	var out []EntryAddress
+	if !c.leaving {
+		out = append(out, EntryAddress{c.self.Daemon, c.self.CallerAddress, c.self.FailureDomain, c.self.Weight})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		p := c.peers[name]
+		if p.heartbeat.Leaving || now.Sub(p.heardAt) >= c.bounds.Freshness.PeerTimeout {
+			continue
+		}
+		h := p.heartbeat
+		out = append(out, EntryAddress{h.Daemon, h.CallerAddress, h.FailureDomain, h.Weight})
+	}
+	return out
+}
+
+// listed takes the platform's list as a hint: it adds instances and addresses
+// and marks those leaving, and removes only instances that are silent as well.
+func (c *Core) listed(e Listed) {
+	named := make(map[string]bool, len(e.Instances))
+	for _, i := range e.Instances {
+		named[i.Name] = true
+		s, ok := c.instances[i.Name]
+		if !ok {
+			s = &sighting{ordered: make(map[string]time.Time)}
+			c.instances[i.Name] = s
+		}
+		s.instance = i
+	}
+	for name, s := range c.instances {
+		if !named[name] && (s.refused || s.reportedAt.IsZero()) {
+			delete(c.instances, name)
+		}
+	}
+}
+
+// logRead folds the records that a read of the log returned.
+func (c *Core) logRead(now time.Time, e LogRead) {
+	c.fresh.LogDown = false
+	if e.Stream == StreamConfiguration {
+		c.configurationRead(e)
+		return
+	}
+	for _, entry := range e.Entries {
+		switch {
+		case entry.Snapshot != nil:
+			c.config = c.config.Restore(*entry.Snapshot)
+			c.snapshot = snapshotStanding{offset: max(c.snapshot.offset, entry.Snapshot.Offset), at: now}
+		case entry.Lease != nil:
+			c.keeper.Observe(now, entry.Offset, e.Horizon, *entry.Lease)
+		}
+	}
+}
+
+// configurationRead folds configuration records. Records after a gap that
+// retention left wait until a snapshot, from the log or a peer, covers the gap.
+func (c *Core) configurationRead(e LogRead) {
+	c.held = append(c.held, e.Entries...)
+	if c.configNext < e.Horizon && c.config.Offset+1 < e.Horizon {
+		return
+	}
+	for _, entry := range c.held {
+		if entry.Change != nil {
+			c.applyChange(entry.Offset, *entry.Change)
+		}
+	}
+	c.held = nil
+	c.configNext = max(c.configNext, e.Next)
+	c.fresh.ConfirmedAt = e.AskedAt
+	c.fresh.Offset = c.config.Offset
+}
+
+// orderDone takes the report that came with an order's answer, and lets an
+// order that was not accepted be sent again.
+func (c *Core) orderDone(now time.Time, e OrderDone) {
+	s, ok := c.instances[e.Order.Instance]
+	if !ok {
+		return
+	}
+	if e.Err == nil {
+		delete(s.ordered, e.Order.ID)
+	}
+	if e.Err == nil && e.Result.Report.Instance == e.Order.Instance {
+		s.report, s.reportedAt = e.Result.Report, now
+	}
+}
+
+// peerHeard takes a heartbeat and the configuration that came with it.
+func (c *Core) peerHeard(now time.Time, h Heartbeat) {
+	c.peers[h.Daemon] = &peer{heartbeat: h, heardAt: now}
+	if h.Configuration != nil {
+		c.config = c.config.Restore(*h.Configuration)
+		c.fresh.Offset = max(c.fresh.Offset, c.config.Offset)
+	}
+	p := freshness.Peer{HeardAt: now, Offset: h.Offset, LogDown: h.LogDown}
+	if h.ConfirmedAge >= 0 {
+		p.ConfirmedAt = now.Add(-h.ConfirmedAge)
+	}
+	if h.Leaving {
+		delete(c.fresh.Peers, h.Daemon)
+		return
+	}
+	c.fresh.Peers[h.Daemon] = p
+}
+
+// peerViews returns this daemon and the live ones that it knows.
+func (c *Core) peerViews(now time.Time) []PeerView {
+	out := []PeerView{{Daemon: c.self.Daemon, Offset: c.config.Offset, LogDown: c.fresh.LogDown, Leaving: c.leaving}}
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		p := c.peers[name]
+		if now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving {
+			out = append(out, PeerView{Daemon: name, Offset: p.heartbeat.Offset, LogDown: p.heartbeat.LogDown})
+		}
+	}
+	return out
+}
+
+// reported takes an engine's report, unless a later one is known.
+func (c *Core) reported(e Reported) {
+	s, ok := c.instances[e.Report.Instance]
+	if !ok || e.AskedAt.Before(s.reportedAt) {
+		return
+	}
+	s.report, s.reportedAt, s.refused = e.Report, e.AskedAt, false
+}
+
+// reportFailed takes the failure of an instance to answer.
+func (c *Core) reportFailed(e ReportFailed) {
+	if s, ok := c.instances[e.Instance]; ok && e.Refused {
+		s.refused = true
+	}
+}
+
+// services returns the plain services by deployment.
+func (c *Core) services() map[string][]fleet.Instance {
+	out := make(map[string][]fleet.Instance)
+	for _, name := range slices.Sorted(maps.Keys(c.instances)) {
+		s := c.instances[name]
+		i := s.instance
+		if i.Kind != fleet.KindService || i.Leaving || c.barred(i) {
+			continue
+		}
+		out[i.Deployment] = append(out[i.Deployment], i)
+	}
+	return out
+}
+
+// barred returns whether operators have decided that i gets no new work.
+func (c *Core) barred(i fleet.Instance) bool {
+	return c.config.DomainOut(i.FailureDomain) || c.config.InstanceCordoned(i.Name)
+}
+
+// current returns whether s was reported lately enough to give work on.
+func (c *Core) current(now time.Time, s *sighting) bool {
+	return !s.reportedAt.IsZero() && !s.refused && now.Sub(s.reportedAt) < c.bounds.ReportAge
+}
+
+// viewReplicas adds to v the complete replicas, and an explanation for each one
+// that does not serve.
+func (c *Core) viewReplicas(now time.Time, v *View) {
+	heads := make(map[string]*sighting)
+	for _, name := range slices.Sorted(maps.Keys(c.instances)) {
+		s := c.instances[name]
+		a := s.report.Assignment
+		if a.Free() {
+			continue
+		}
+		if h, ok := heads[a.Replica]; !ok || h.report.Assignment.Generation.Less(a.Generation) {
+			heads[a.Replica] = s
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(heads)) {
+		a := heads[id].report.Assignment
+		if r, why := c.replica(now, a); why.Reason == "" {
+			v.Replicas[a.Deployment] = append(v.Replicas[a.Deployment], r)
+		} else {
+			v.Explanations = append(v.Explanations, why)
+		}
+	}
+}
+
+// replica returns the replica of assignment a if all its members are complete,
+// current and permitted, or the reason why it does not serve.
+func (c *Core) replica(now time.Time, a fleet.Assignment) (Replica, Explanation) {
+	r := Replica{
+		Name: a.Replica, Deployment: a.Deployment, Model: a.Model, Adapter: a.Adapter, Version: a.Version,
+		Generation: a.Generation, Members: a.Members, Warm: true,
+	}
+	for rank, name := range a.Members {
+		s, ok := c.instances[name]
+		if !ok {
+			return r, Explanation{a.Replica, name + " is not listed", "the director replaces it"}
+		}
+		if why, next := c.unfit(now, s, a); why != "" {
+			return r, Explanation{a.Replica, name + " " + why, next}
+		}
+		r.Warm = r.Warm && s.report.Warm
+		until := s.reportedAt.Add(c.bounds.ReportAge)
+		if rank == 0 {
+			r.Head, r.FailureDomain, r.ValidUntil = s.instance, s.instance.FailureDomain, until
+			r.Slots, r.ColdLimit, r.Running = s.report.Slots, s.report.ColdLimit, s.report.Running
+		}
+		if until.Before(r.ValidUntil) {
+			r.ValidUntil = until
+		}
+	}
+	_, r.Directed = c.keeper.Holds(now, r.FailureDomain)
+	return r, Explanation{}
+}
+
+// unfit returns why s keeps the replica of a from serving, and what happens
+// next; empty strings if it does not.
+func (c *Core) unfit(now time.Time, s *sighting, a fleet.Assignment) (why, next string) {
+	switch {
+	case c.config.DomainOut(s.instance.FailureDomain):
+		return "is in failure domain " + s.instance.FailureDomain + ", which is out", "domain in returns it"
+	case c.config.InstanceCordoned(s.instance.Name):
+		return "is cordoned", "the director replaces it"
+	case s.instance.Leaving || s.report.Leaving:
+		return "is leaving", "the director replaces it"
+	case !c.current(now, s):
+		return "does not answer", "the director replaces it when a spare is free"
+	case s.report.Assignment.Generation != a.Generation || s.report.Assignment.Replica != a.Replica:
+		return fmt.Sprintf("has generation %s instead of %s", s.report.Assignment.Generation, a.Generation), "the director orders it to join"
+	case s.report.Phase != fleet.PhaseReady:
+		return "is " + string(s.report.Phase), "it serves when its weights are loaded"
+	}
+	return "", ""
+}
+
+// domainsByName returns the failure domains of all engines, sorted.
+func (c *Core) domainsByName() []string {
+	domains := make(map[string]bool)
+	for _, s := range c.instances {
+		if s.instance.Kind == fleet.KindEngine {
+			domains[s.instance.FailureDomain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
+// byName returns the sightings of the engines of a failure domain, sorted.
+func (c *Core) byName(domain string) []*sighting {
+	var out []*sighting
+	for _, s := range c.instances {
+		if s.instance.FailureDomain == domain && s.instance.Kind == fleet.KindEngine {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *sighting) int { return cmp.Compare(a.instance.Name, b.instance.Name) })
+	return out
+}
--- /dev/null
+++ b/coordination/control/direct.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/placement"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+)
+
+// snapshotChanges is the number of configuration offsets after which a snapshot
+// is published without waiting for its interval.
+const snapshotChanges = 64
+
+// tick claims and renews leases, directs the failure domains that this daemon
+// holds, re-publishes the configuration ahead of retention and beats.
+func (c *Core) tick(now time.Time) []Command {
+	var out []Command
+	for _, domain := range c.domainsByName() {
+		out = append(out, c.claim(now, domain)...)
+		out = append(out, c.direct(now, domain)...)
+	}
+	out = append(out, c.republish(now)...)
+	return append(out, Broadcast{Heartbeat: c.heartbeat(now)})
+}
+
+// claim returns the append that takes or renews the lease of domain, if due. A
+// daemon that is leaving, or whose view is not confirmed by the log, claims
+// nothing; daemons of other failure domains leave the first claim to those of
+// the domain itself.
+func (c *Core) claim(now time.Time, domain string) []Command {
+	if c.leaving || c.fresh.LogDown || c.config.Offset == 0 {
+		return nil
+	}
+	if domain != c.self.FailureDomain && c.localDaemon(now, domain) && c.keeper.Lease(domain).Holder != c.keeper.Self {
+		return nil
+	}
+	claim, ok := c.keeper.Want(now, domain)
+	if !ok {
+		return nil
+	}
+	c.keeper.Sent(now, claim)
+	return []Command{Append{Stream: StreamSystem, ID: claim.ID, Entry: Entry{Lease: &claim}}}
+}
+
+// localDaemon returns whether a live peer runs in domain.
+func (c *Core) localDaemon(now time.Time, domain string) bool {
+	for _, p := range c.peers {
+		live := now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving
+		if live && p.heartbeat.FailureDomain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// direct returns the orders for the instances of domain, if this daemon holds
+// its lease and has read every instance's report since it took it.
+func (c *Core) direct(now time.Time, domain string) []Command {
+	term, ok := c.keeper.Holds(now, domain)
+	if !ok || c.leaving {
+		return nil
+	}
+	if c.domainTerm[domain].term != term {
+		c.domainTerm[domain] = termStart{term: term, since: now}
+		c.sequence = 0
+	}
+	candidates, settled := c.candidates(now, domain)
+	if !settled || c.ordering(now, domain) {
+		return nil
+	}
+	plan := placement.Make(domain, c.wants(domain), candidates)
+	var out []Command
+	for _, m := range plan.Memberships {
+		out = append(out, c.orderJoin(now, domain, term, m)...)
+	}
+	for _, name := range plan.Releases {
+		out = append(out, c.order(now, domain, term, c.instances[name], fleet.ActionLeave, fleet.Assignment{})...)
+	}
+	return out
+}
+
+// candidates returns the engines of domain, and whether each has answered since
+// this daemon took the lease or is known to be silent for long enough.
+func (c *Core) candidates(now time.Time, domain string) ([]placement.Candidate, bool) {
+	since := c.domainTerm[domain].since
+	settled := now.Sub(since) >= c.bounds.DeadAfter
+	answered := true
+	var out []placement.Candidate
+	for _, s := range c.byName(domain) {
+		answered = answered && s.reportedAt.After(since)
+		alive := !s.reportedAt.IsZero() && !s.refused && now.Sub(s.reportedAt) < c.bounds.DeadAfter
+		if !s.reportedAt.After(since) {
+			alive = false
+		}
+		out = append(out, placement.Candidate{
+			Instance: s.instance,
+			Report:   s.report,
+			Alive:    alive,
+			Usable:   alive && !s.instance.Leaving && !s.report.Leaving && !c.config.InstanceCordoned(s.instance.Name),
+		})
+	}
+	return out, settled || answered
+}
+
+// wants returns how many replicas of each deployment belong in domain.
+func (c *Core) wants(domain string) []placement.Want {
+	var out []placement.Want
+	for _, d := range c.config.Deployments {
+		if quota := d.Quota(domain); d.Kind == fleet.KindEngine && quota > 0 {
+			out = append(out, placement.Want{Deployment: d, Replicas: quota})
+		}
+	}
+	return out
+}
+
+// orderJoin returns the orders that give m to each of its members that does not
+// have it yet.
+func (c *Core) orderJoin(now time.Time, domain string, term uint64, m placement.Membership) []Command {
+	if m.Renew {
+		c.sequence++
+		m.Generation = fleet.Generation{Fence: term, Seq: c.sequence}
+	}
+	a := fleet.Assignment{
+		Replica: m.Replica, Deployment: m.Deployment.Name, Generation: m.Generation, Members: m.Members,
+		Model: m.Deployment.Model, Adapter: m.Deployment.Adapter, Version: m.Deployment.Version,
+	}
+	for _, name := range m.Members {
+		a.Addresses = append(a.Addresses, c.instances[name].instance.Address)
+	}
+	var out []Command
+	for rank, name := range m.Members {
+		s := c.instances[name]
+		a.Rank = rank
+		if s.report.Assignment.Generation != a.Generation {
+			out = append(out, c.order(now, domain, term, s, fleet.ActionJoin, a)...)
+		}
+	}
+	return out
+}
+
+// order returns the order for one instance, unless another one of this term is
+// in flight to it.
+func (c *Core) order(now time.Time, domain string, term uint64, s *sighting, action fleet.Action, a fleet.Assignment) []Command {
+	o := fleet.Order{
+		Director:   c.keeper.Self,
+		Instance:   s.instance.Name,
+		Action:     action,
+		Fence:      term,
+		Expect:     s.report.Assignment.Generation,
+		Assignment: a,
+		Deadline:   now.Add(c.bounds.Lease.LongestOrder),
+	}
+	o.ID = fmt.Sprintf("%s/%d/%s/%s/%s", o.Instance, term, a.Generation, action, o.Expect)
+	s.ordered[o.ID] = now
+	return []Command{Send{Address: s.instance.Address, Scope: domain, Until: c.keeper.ValidUntil(domain), Order: o}}
+}
+
+// ordering returns whether an order to an instance of domain is in flight. No
+// plan is made until its result is known, or it cannot take effect any more.
+func (c *Core) ordering(now time.Time, domain string) bool {
+	busy := false
+	for _, s := range c.byName(domain) {
+		for id, at := range s.ordered {
+			if now.Sub(at) >= c.bounds.Lease.LongestOrder {
+				delete(s.ordered, id)
+				continue
+			}
+			busy = true
+		}
+	}
+	return busy
+}
+
+// republish returns the append of a configuration snapshot, if the last one is
+// old enough for retention to pass it. The holder of the first failure domain's
+// lease publishes; any other daemon does so when the holder is late.
+func (c *Core) republish(now time.Time) []Command {
+	if c.fresh.LogDown || c.config.Offset == 0 || c.fresh.ConfirmedAt.IsZero() {
+		return nil
+	}
+	if c.snapshot.at.IsZero() {
+		c.snapshot.at = now
+	}
+	patience := 2 * c.bounds.SnapshotInterval
+	if domains := c.domainsByName(); len(domains) > 0 && c.keeper.Lease(domains[0]).Holder == c.keeper.Self {
+		patience = c.bounds.SnapshotInterval
+	}
+	if now.Sub(c.snapshot.at) < patience && c.config.Offset < c.snapshot.offset+snapshotChanges {
+		return nil
+	}
+	c.snapshot = snapshotStanding{offset: c.config.Offset, at: now}
+	config := c.config
+	id := fmt.Sprintf("%s/snapshot/%d/%d", c.keeper.Self, config.Offset, now.UnixNano())
+	return []Command{Append{Stream: StreamSystem, ID: id, Entry: Entry{Snapshot: &config}}}
+}
+
+// heartbeat returns what this daemon tells its peers. It carries the
+// configuration while a live peer lags behind.
+func (c *Core) heartbeat(now time.Time) Heartbeat {
+	h := Heartbeat{
+		Daemon: c.self.Daemon, Incarnation: c.self.Incarnation, FailureDomain: c.self.FailureDomain,
+		CallerAddress: c.self.CallerAddress, Weight: c.self.Weight,
+		Leaving: c.leaving, Offset: c.config.Offset, ConfirmedAge: -1, LogDown: c.fresh.LogDown,
+	}
+	if at := c.fresh.ConfirmedSince(); !at.IsZero() {
+		h.ConfirmedAge = now.Sub(at)
+	}
+	for _, p := range c.peers {
+		if p.heartbeat.Offset < c.config.Offset && now.Sub(p.heardAt) < c.bounds.PeerForget {
+			config := c.config
+			h.Configuration = &config
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/coordination/control/event.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/configuration"
+	"github.com/hawthornrock/hawthornrock/coordination/lease"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+)
+
+// An Event is something that happened to a daemon.
+type Event interface{ event() }
+
+// An Entry is one decoded record of the log. Exactly one pointer is set; an
+// entry with none is of a kind that this version does not know.
+type Entry struct {
+	Offset   uint64                `cbor:"offset"`
+	Change   *configuration.Record `cbor:"change,omitempty"`
+	Snapshot *configuration.State  `cbor:"snapshot,omitempty"`
+	Lease    *lease.Claim          `cbor:"lease,omitempty"`
+}
+
+// LogRead reports one successful read of a stream. AskedAt is when the read was
+// sent, Next the offset after the last record of the stream at that time, and
+// Horizon the oldest offset that the log still holds.
+type LogRead struct {
+	Stream  Stream
+	AskedAt time.Time
+	Next    uint64
+	Horizon uint64
+	Entries []Entry
+}
+
+// LogFailed reports that a read of the log failed.
+type LogFailed struct{ Err error }
+
+// AppendDone reports the end of an Append command.
+type AppendDone struct {
+	Append Append
+	Err    error
+}
+
+// Listed reports the platform's list of instances.
+type Listed struct{ Instances []fleet.Instance }
+
+// Reported reports an engine's answer to a question that was sent at AskedAt.
+type Reported struct {
+	Report  fleet.Report
+	AskedAt time.Time
+}
+
+// ReportFailed reports that an instance did not answer. Refused means that its
+// address refused the connection, which proves that nothing listens there.
+type ReportFailed struct {
+	Instance string
+	Refused  bool
+}
+
+// OrderDone reports the end of a Send command.
+type OrderDone struct {
+	Order  fleet.Order
+	Result fleet.OrderResult
+	Err    error
+}
+
+// PeerHeard reports a heartbeat of another daemon, received now.
+type PeerHeard struct{ Heartbeat Heartbeat }
+
+// Leave asks the daemon to stop as planned.
+type Leave struct{}
+
+// Tick reports that time has passed.
+type Tick struct{}
+
+func (LogRead) event()      {}
+func (LogFailed) event()    {}
+func (AppendDone) event()   {}
+func (Listed) event()       {}
+func (Reported) event()     {}
+func (ReportFailed) event() {}
+func (OrderDone) event()    {}
+func (PeerHeard) event()    {}
+func (Leave) event()        {}
+func (Tick) event()         {}
--- /dev/null
+++ b/coordination/routing/routing.go
@@ -0,0 +1,131 @@
+// Package routing decides which replica of a deployment runs a request. Policies
+// are pure: they choose among the candidates that an attempt may use.
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Candidate is one replica that may run a request. InFlight counts the
+// requests that this daemon has given it, Reported those that its last report
+// spoke of, and Limit how many this daemon may give it at once.
+type Candidate struct {
+	Name     string
+	Near     bool
+	InFlight int
+	Reported int
+	Limit    int
+}
+
+// Free returns whether c may be given one more request.
+func (c Candidate) Free() bool { return c.InFlight < c.Limit }
+
+// load returns the work that c is known to have.
+func (c Candidate) load() int { return max(c.InFlight, c.Reported) }
+
+// A Policy chooses the index of a candidate for a request with the given key,
+// -1 if none is free.
+type Policy interface {
+	Choose(key string, candidates []Candidate) int
+}
+
+// RoundRobin chooses the free candidates in turn. It is a baseline.
+type RoundRobin struct{ next int }
+
+// Choose implements Policy.
+func (p *RoundRobin) Choose(_ string, candidates []Candidate) int {
+	for i := range candidates {
+		if at := (p.next + i) % len(candidates); candidates[at].Free() {
+			p.next = at + 1
+			return at
+		}
+	}
+	return -1
+}
+
+// LeastLoad chooses the free candidate with the least work, a near one first
+// among equals.
+type LeastLoad struct{}
+
+// Choose implements Policy.
+func (LeastLoad) Choose(key string, candidates []Candidate) int {
+	return least(key, candidates)
+}
+
+// PrefixAffinity chooses the candidate that a key hashes to, unless it has more
+// than Slack requests above the least loaded one.
+type PrefixAffinity struct{ Slack int }
+
+// Choose implements Policy.
+func (p PrefixAffinity) Choose(key string, candidates []Candidate) int {
+	best := least(key, candidates)
+	if best < 0 || key == "" {
+		return best
+	}
+	home := rendezvous(key, candidates)
+	if candidates[home].Free() && candidates[home].load() <= candidates[best].load()+p.Slack {
+		return home
+	}
+	return best
+}
+
+// least returns the free candidate with the least work; ties go to a near one,
+// then by hash of key and name, so that daemons do not all choose the same.
+func least(key string, candidates []Candidate) int {
+	best := -1
+	for i, c := range candidates {
+		if !c.Free() {
+			continue
+		}
+		if best < 0 || compare(key, c, candidates[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// compare orders candidates from best to worst.
+func compare(key string, a, b Candidate) int {
+	near := func(c Candidate) int {
+		if c.Near {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.load(), b.load()), cmp.Compare(near(a), near(b)),
+		cmp.Compare(weight(key, a.Name), weight(key, b.Name)))
+}
+
+// rendezvous returns the candidate with the highest weight for key.
+func rendezvous(key string, candidates []Candidate) int {
+	i := 0
+	for j := range candidates {
+		if weight(key, candidates[j].Name) > weight(key, candidates[i].Name) {
+			i = j
+		}
+	}
+	return i
+}
+
+// weight returns the rendezvous weight of name for key.
+func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+
+// Names returns the names of the policies that New knows.
+func Names() []string { return []string{"least_load", "prefix_affinity", "round_robin"} }
+
+// New returns the policy of the given name.
+func New(name string) (Policy, bool) {
+	if !slices.Contains(Names(), name) {
+		return nil, false
+	}
+	switch name {
+	case "prefix_affinity":
+		return PrefixAffinity{Slack: 4}, true
+	case "round_robin":
+		return &RoundRobin{}, true
+	}
+	return LeastLoad{}, true
+}
--- /dev/null
+++ b/democmd.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/demo"
+)
+
+// A demoCommand runs the main job on built-in stand-ins.
+type demoCommand struct {
+	streams
+	asJSON bool
+}
+
+// Name implements subcommands.Command.
+func (*demoCommand) Name() string { return "demo" }
+
+// Synopsis implements subcommands.Command.
+func (*demoCommand) Synopsis() string { return "run the main job on built-in stand-ins" }
+
+// Usage implements subcommands.Command.
+func (*demoCommand) Usage() string {
+	return "demo [-json]\n\nRuns a whole system on loopback, measures it and fails if a promise is broken.\n\n" +
+		"Example:\n  hawthornrock demo -json\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.asJSON, "json", false, "print one JSON object")
+}
+
+// Execute implements subcommands.Command.
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	progress := c.out
+	if c.asJSON {
+		progress = io.Discard
+	}
+	var (
+		result demo.Result
+		err    error
+	)
+	if result, err = demo.Run(ctx, demo.DefaultPlan(), progress); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	if c.asJSON {
+		c.json(result)
+	} else {
+		fmt.Fprintf(c.out, "%d requests, %d whole answers, %d wrong, %d not run, %d unknown, %d repeated runs, %d violations\n",
+			result.Requests, result.WholeAnswers, result.WrongAnswers, result.NotRun, result.Unknown,
+			result.RepeatedNonIdempotentRuns, result.InvariantViolations)
+	}
+	if broken := result.Broken(); len(broken) > 0 {
+		return c.fail(exitBroken, fmt.Errorf("broken promises: %s", strings.Join(broken, ", ")))
+	}
+	return exitOK
+}
--- /dev/null
+++ b/doctorcmd.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/protocol/operator"
+	"github.com/hawthornrock/hawthornrock/protocol/platform"
+	"github.com/hawthornrock/hawthornrock/state/settings"
+)
+
+// doctorTimeout bounds each look that the doctor takes.
+const doctorTimeout = 3 * time.Second
+
+// A doctorCommand looks for what keeps a daemon from serving.
+type doctorCommand struct {
+	streams
+	operator operatorFlags
+	file     string
+}
+
+// A finding is one thing that the doctor looked at.
+type finding struct {
+	ok   bool
+	name string
+	text string
+}
+
+// Name implements subcommands.Command.
+func (*doctorCommand) Name() string { return "doctor" }
+
+// Synopsis implements subcommands.Command.
+func (*doctorCommand) Synopsis() string { return "look for what keeps a daemon from serving" }
+
+// Usage implements subcommands.Command.
+func (*doctorCommand) Usage() string {
+	return "doctor -settings FILE [flags]\n\nExample:\n  hawthornrock doctor -settings examples/utility/entry-1.yaml\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *doctorCommand) SetFlags(f *flag.FlagSet) {
+	c.operator.register(f)
+	f.StringVar(&c.file, "settings", "", "settings file of the daemon")
+}
+
+// Execute implements subcommands.Command.
+func (c *doctorCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var (
+		s   settings.Settings
+		err error
+	)
+	if s, err = settings.Read(c.file); err != nil {
+		return c.fail(exitUsage, err)
+	}
+	c.operator.address = s.Listen.Operators
+	code := exitOK
+	for _, f := range c.look(ctx, s) {
+		word := "ok"
+		if !f.ok {
+			word, code = "failed", exitBroken
+		}
+		fmt.Fprintf(c.out, "%-7s %-10s %s\n", word, f.name, f.text)
+	}
+	return code
+}
+
+// look looks at the platform, the daemon and its peers.
+func (c *doctorCommand) look(ctx context.Context, s settings.Settings) []finding {
+	findings := []finding{{true, "settings", "valid"}, c.lookAtLog(ctx, s), c.lookAtDaemon(ctx)}
+	for _, seed := range s.Peers.Seeds {
+		findings = append(findings, lookAtPeer(ctx, seed))
+	}
+	return findings
+}
+
+// lookAtDaemon asks the daemon for its status.
+func (c *doctorCommand) lookAtDaemon(ctx context.Context) finding {
+	var (
+		status operator.Status
+		err    error
+	)
+	if status, err = c.operator.client().Status(ctx); err != nil {
+		return finding{false, "daemon", err.Error()}
+	}
+	ok := status.Violations == 0 && status.Mode != "isolated"
+	return finding{ok, "daemon", fmt.Sprintf("mode %s, offset %d, %d replicas serving, %d not, %d violations",
+		status.Mode, status.Offset, len(status.Replicas), len(status.NotServing), status.Violations)}
+}
+
+// lookAtLog reads the log once.
+func (c *doctorCommand) lookAtLog(ctx context.Context, s settings.Settings) finding {
+	client := platform.Client{Address: s.Platform.Address, HTTP: &http.Client{Timeout: doctorTimeout}}
+	var (
+		page platform.Page
+		err  error
+	)
+	if page, err = client.Read(ctx, "configuration", 1, 0); err != nil {
+		return finding{false, "log", err.Error()}
+	}
+	return finding{true, "log", fmt.Sprintf("configuration from offset %d to %d", page.Horizon, page.Next)}
+}
+
+// lookAtPeer connects to a peer.
+func lookAtPeer(ctx context.Context, address string) finding {
+	dialer := net.Dialer{Timeout: doctorTimeout}
+	var (
+		conn net.Conn
+		err  error
+	)
+	if conn, err = dialer.DialContext(ctx, "tcp", address); err != nil {
+		return finding{false, "peer", err.Error()}
+	}
+	// Nothing was sent on this connection.
+	_ = conn.Close()
+	return finding{true, "peer", address}
+}
--- /dev/null
+++ b/entry/claims.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/claim"
+	"github.com/hawthornrock/hawthornrock/coordination/outcome"
+	"github.com/hawthornrock/hawthornrock/protocol/platform"
+)
+
+const (
+	// streamClaims is the stream of claims on the log.
+	streamClaims = "claims"
+	// maxBatch bounds the claim records of one append.
+	maxBatch = 256
+	// claimQueue bounds the claim records that wait for an append.
+	claimQueue = 4096
+)
+
+// claims follows the claims of all daemons and writes those of this one, many to
+// an append.
+type claims struct {
+	daemon *Daemon
+	queue  chan claim.Record
+
+	mu      sync.Mutex
+	table   claim.Table
+	waiting map[string]chan bool
+	ready   bool
+}
+
+// newClaims returns claims that have not yet read the log.
+func newClaims(d *Daemon, table claim.Table) *claims {
+	return &claims{daemon: d, queue: make(chan claim.Record, claimQueue), table: table, waiting: make(map[string]chan bool)}
+}
+
+// abandon gives a claim back whose request was surely not run.
+func (c *claims) abandon(r claim.Record) {
+	r.Status = claim.StatusAbandoned
+	c.enqueue(r)
+}
+
+// end records the outcome of the request of a claim.
+func (c *claims) end(r claim.Record, o outcome.Outcome, status int) {
+	r.Status, r.Outcome, r.HTTPStatus = claim.StatusEnded, o, status
+	c.enqueue(r)
+}
+
+// enqueue queues a record for the next append, and returns whether it had room.
+func (c *claims) enqueue(r claim.Record) bool {
+	select {
+	case c.queue <- r:
+		return true
+	default:
+		c.daemon.counters.events.Add("claim_queue_full", 1)
+		return false
+	}
+}
+
+// claim claims key and returns the claim once it has been read back as the first
+// of its key, the record that stands before it, or an error if the log did not
+// tell within the claim timeout.
+func (c *claims) claim(ctx context.Context, key string) (own claim.Record, standing *claim.Record, err error) {
+	own = claim.Record{ID: uuid.NewString(), Key: key, Daemon: c.daemon.settings.Daemon, Status: claim.StatusClaimed}
+	c.mu.Lock()
+	if !c.ready {
+		c.mu.Unlock()
+		return own, nil, fmt.Errorf("claims of the window have not been read yet")
+	}
+	if r, ok := c.table.Get(key); ok {
+		c.mu.Unlock()
+		return own, &r, nil
+	}
+	won := make(chan bool, 1)
+	c.waiting[own.ID] = won
+	c.mu.Unlock()
+	defer c.forget(own.ID)
+	if !c.enqueue(own) {
+		return own, nil, fmt.Errorf("too many claims wait for the log")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.daemon.settings.Bounds.ClaimTimeout)
+	defer cancel()
+	select {
+	case first := <-won:
+		if first {
+			return own, nil, nil
+		}
+		r, _ := c.get(key)
+		return own, &r, nil
+	case <-ctx.Done():
+		c.abandon(own)
+		return own, nil, fmt.Errorf("claim was not read back: %w", ctx.Err())
+	}
+}
+
+// follow folds the claims of all daemons.
+func (c *claims) follow(ctx context.Context) error {
+	from := uint64(1)
+	for ctx.Err() == nil {
+		var (
+			page platform.Page
+			err  error
+		)
+		if page, err = c.daemon.platform.Read(ctx, streamClaims, from, followWait); err != nil {
+			sleep(ctx, retryInterval)
+			continue
+		}
+		from = page.Next
+		c.fold(page)
+	}
+	return nil
+}
+
+// fold folds one page of claims and tells those that wait for them.
+func (c *claims) fold(page platform.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range page.Records {
+		var records []claim.Record
+		if err := cbor.Unmarshal(r.Data, &records); err != nil {
+			c.daemon.counters.events.Add("undecodable_records", 1)
+			continue
+		}
+		for _, record := range records {
+			took := c.table.Apply(r.Time, record)
+			if won, ok := c.waiting[record.ID]; ok && record.Status == claim.StatusClaimed {
+				delete(c.waiting, record.ID)
+				won <- took
+			}
+		}
+	}
+	c.ready = true
+}
+
+// forget stops waiting for a claim.
+func (c *claims) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+// get returns the record that stands for key.
+func (c *claims) get(key string) (claim.Record, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Get(key)
+}
+
+// len returns the number of keys held.
+func (c *claims) len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Len()
+}
+
+// write appends queued records, as many at once as have come.
+func (c *claims) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-c.queue:
+			sleep(ctx, c.daemon.settings.Bounds.ClaimBatch)
+			c.append(ctx, c.batch(first))
+		}
+	}
+}
+
+// append appends batch, again while the log is away and claimants may wait. A
+// record that is appended twice takes effect once.
+func (c *claims) append(ctx context.Context, batch []claim.Record) {
+	var (
+		data []byte
+		err  error
+	)
+	if data, err = cbor.Marshal(batch); err != nil {
+		c.daemon.logger.Error().Err(err).Msg("encode claims")
+		return
+	}
+	submission := platform.Submission{ID: batch[0].ID, Data: data}
+	deadline := time.Now().Add(claimRetries)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if _, err = c.daemon.platform.Append(ctx, streamClaims, submission); err == nil {
+			c.daemon.counters.events.Add("claim_appends", 1)
+			return
+		}
+		sleep(ctx, retryInterval)
+	}
+	c.daemon.counters.events.Add("claim_appends_failed", 1)
+}
+
+// claimRetries bounds how long an append of claims is repeated.
+const claimRetries = 10 * time.Second
+
+// batch returns first and what is queued behind it.
+func (c *claims) batch(first claim.Record) []claim.Record {
+	batch := []claim.Record{first}
+	for len(batch) < maxBatch {
+		select {
+		case r := <-c.queue:
+			batch = append(batch, r)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/state/settings"
+)
+
+const (
+	// dialTimeout bounds the wait for a connection to a backend server.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is how long an idle connection to a backend server is kept.
+	idleTimeout = 30 * time.Second
+	// maxIdleConnections bounds the idle connections to one backend server.
+	maxIdleConnections = 64
+	// platformTimeout bounds one call of the platform.
+	platformTimeout = 3 * time.Second
+	// closeTimeout bounds the wait for connections at the end.
+	closeTimeout = time.Second
+)
+
+// A server is one listener with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	http     *http.Server
+}
+
+// newServer opens a listener at address.
+func newServer(s settings.Settings, name, address string, handler http.Handler) (*server, error) {
+	var (
+		listener net.Listener
+		err      error
+	)
+	if listener, err = net.Listen("tcp", address); err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	listener = newBoundedListener(listener, s.Limits.Connections)
+	if s.TLS.CertificateFile != "" {
+		var certificate tls.Certificate
+		if certificate, err = tls.LoadX509KeyPair(s.TLS.CertificateFile, s.TLS.KeyFile); err != nil {
+			return nil, errors.Join(fmt.Errorf("read certificate: %w", err), listener.Close())
+		}
+		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
+	}
+	srv := &http.Server{
+		Handler:           ageConnections(handler, s.Limits.ConnectionAge),
+		ReadHeaderTimeout: s.Limits.HeaderTimeout,
+		IdleTimeout:       s.Limits.IdleTimeout,
+		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, acceptedKey{}, time.Now())
+		},
+	}
+	return &server{name: name, listener: listener, http: srv}, nil
+}
+
+// close ends the server.
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		// Connections that outlive the timeout are cut.
+		_ = s.http.Close()
+	}
+}
+
+// run serves until the server is closed.
+func (s *server) run(context.Context) error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", s.name, err)
+	}
+	return nil
+}
+
+// acceptedKey is the context key of the time at which a connection was accepted.
+type acceptedKey struct{}
+
+// ageConnections asks callers to close connections that are older than age, so
+// that they spread again after an entry instance returns.
+func ageConnections(next http.Handler, age time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		accepted, ok := r.Context().Value(acceptedKey{}).(time.Time)
+		if ok && age > 0 && time.Since(accepted) > age {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// A boundedListener accepts no more than a number of connections at once.
+type boundedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+// newBoundedListener returns listener bounded to limit connections.
+func newBoundedListener(listener net.Listener, limit int) net.Listener {
+	return &boundedListener{Listener: listener, slots: make(chan struct{}, max(limit, 1))}
+}
+
+// Accept implements net.Listener. A connection beyond the limit is closed at
+// once, so that the caller can try another address.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		var (
+			conn net.Conn
+			err  error
+		)
+		if conn, err = l.Listener.Accept(); err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &boundedConn{Conn: conn, slots: l.slots}, nil
+		default:
+			if err = conn.Close(); err != nil {
+				continue
+			}
+		}
+	}
+}
+
+// A boundedConn frees its slot when it is closed.
+type boundedConn struct {
+	net.Conn
+	slots chan struct{}
+	freed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	if c.freed.CompareAndSwap(false, true) {
+		<-c.slots
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/entry/services.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hawthornrock/hawthornrock/coordination/claim"
+	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/coordination/outcome"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/rest"
+)
+
+// maxServiceAnswer bounds the answer of a plain service, which is read whole
+// before any of it is passed on.
+const maxServiceAnswer = 8 << 20
+
+// hopHeaders are the headers that belong to one connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// A serviceCall is one call of a plain service on its way.
+type serviceCall struct {
+	call       call
+	deployment fleet.Deployment
+	method     string
+	path       string
+	header     http.Header
+	body       []byte
+	idempotent bool
+	key        string
+	sent       int
+}
+
+// A serviceAnswer is the whole answer of a plain service.
+type serviceAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// serveService answers a call of a plain service.
+func (d *Daemon) serveService(w http.ResponseWriter, r *http.Request, c call) {
+	var (
+		s       *serviceCall
+		refused *refusal
+	)
+	if s, refused = d.newServiceCall(r, c); refused != nil {
+		d.refuse(w, refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d.settings.Limits.RequestTimeout)
+	defer cancel()
+	d.cancels.add(c.request, c.organisation, cancel)
+	defer d.cancels.remove(c.request)
+	var answer *serviceAnswer
+	if s.idempotent {
+		answer, refused = d.runService(ctx, s)
+	} else {
+		// A caller that leaves does not stop a call that may not be repeated.
+		answer, refused = d.runOnce(context.WithoutCancel(ctx), s)
+	}
+	if refused != nil {
+		d.refuse(w, refused)
+		return
+	}
+	d.passOn(w, s, answer)
+}
+
+// newServiceCall returns the call that r asks for.
+func (d *Daemon) newServiceCall(r *http.Request, c call) (*serviceCall, *refusal) {
+	s := &serviceCall{call: c, method: r.Method, header: r.Header.Clone(), key: r.Header.Get("Idempotency-Key")}
+	var refused *refusal
+	if s.deployment, refused = d.admit(c.organisation, r.PathValue("deployment"), fleet.KindService); refused != nil {
+		return nil, refused
+	}
+	if s.body, refused = d.readBody(r); refused != nil {
+		return nil, refused
+	}
+	s.path = strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+s.deployment.Name)
+	if r.URL.RawQuery != "" {
+		s.path += "?" + r.URL.RawQuery
+	}
+	s.idempotent = idempotentMethod(r.Method, s.deployment)
+	for _, h := range hopHeaders {
+		s.header.Del(h)
+	}
+	s.header.Del("Authorization")
+	s.header.Set("Hawthornrock-Organisation", c.organisation)
+	return s, nil
+}
+
+// idempotentMethod returns whether a call by method may be repeated: as the
+// sheet says, else as HTTP does.
+func idempotentMethod(method string, d fleet.Deployment) bool {
+	if len(d.IdempotentMethods) > 0 {
+		return slices.Contains(d.IdempotentMethods, method)
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// runOnce runs a non-idempotent call at most once. A call that carries an
+// idempotency key runs only after its claim has been read back from the log.
+func (d *Daemon) runOnce(ctx context.Context, s *serviceCall) (*serviceAnswer, *refusal) {
+	if s.key == "" {
+		return d.runService(ctx, s)
+	}
+	var (
+		own      claim.Record
+		standing *claim.Record
+		err      error
+	)
+	if own, standing, err = d.claims.claim(ctx, claimKey(s)); err != nil {
+		return nil, unavailable("log_unavailable", "the claim of the idempotency key could not be confirmed: "+err.Error())
+	}
+	if standing != nil {
+		return nil, repeated(*standing)
+	}
+	answer, refused := d.runService(ctx, s)
+	switch {
+	case refused != nil && refused.Outcome == outcome.NotRun:
+		d.claims.abandon(own)
+	case refused != nil:
+		d.claims.end(own, refused.Outcome, refused.Status)
+	default:
+		d.claims.end(own, outcome.Of(outcome.Answered, false, answer.status), answer.status)
+	}
+	return answer, refused
+}
+
+// repeated returns the answer to a call whose key another call holds.
+func repeated(standing claim.Record) *refusal {
+	r := &refusal{
+		Status: http.StatusConflict, Outcome: outcome.Unknown, Type: "invalid_request_error", Code: "idempotency_key_in_use",
+		Message:    fmt.Sprintf("a call with this key is running or was lost at entry instance %s", standing.Daemon),
+		RetryAfter: refreshAfter,
+	}
+	if standing.Status == claim.StatusEnded {
+		r.Outcome, r.Code, r.RetryAfter = standing.Outcome, "idempotency_key_used", 0
+		r.Message = fmt.Sprintf("a call with this key ended as %s with status %d", standing.Outcome, standing.HTTPStatus)
+	}
+	return r
+}
+
+// runService sends s until an answer is whole or it may not be sent again.
+func (d *Daemon) runService(ctx context.Context, s *serviceCall) (*serviceAnswer, *refusal) {
+	last := unavailable("no_capacity", "no backend server of this deployment is in service")
+	tried := make(map[string]bool)
+	for range maxAttempts {
+		i, ok := d.chooseService(s, tried)
+		if !ok {
+			return nil, last
+		}
+		tried[i.Name] = true
+		answer, evidence, err := d.sendService(ctx, s, i)
+		if evidence == outcome.Answered {
+			return answer, nil
+		}
+		last = serviceRefusal(outcome.Of(evidence, s.idempotent, 0), err)
+		if !outcome.Repeatable(evidence, s.idempotent) || ctx.Err() != nil {
+			return nil, last
+		}
+	}
+	return nil, last
+}
+
+// serviceRefusal returns the answer to a call without a whole answer.
+func serviceRefusal(o outcome.Outcome, err error) *refusal {
+	r := unavailable("service_unavailable", "the backend server did not run the call")
+	r.Outcome = o
+	switch o {
+	case outcome.Unknown:
+		r.Status, r.Code, r.RetryAfter = http.StatusBadGateway, "outcome_unknown", 0
+		r.Message = "the call may have run; find out before sending it again: " + err.Error()
+	case outcome.Failed:
+		r.Status, r.Code, r.Message = http.StatusBadGateway, "service_failed", err.Error()
+	case outcome.Completed, outcome.NotRun:
+	}
+	return r
+}
+
+// chooseService returns the next instance to try, one in the daemon's own
+// failure domain first.
+func (d *Daemon) chooseService(s *serviceCall, tried map[string]bool) (fleet.Instance, bool) {
+	view := d.view.Load()
+	if d.stale(view) != nil && s.sent == 0 && !view.Leaving {
+		return fleet.Instance{}, false
+	}
+	var best fleet.Instance
+	found := false
+	for _, i := range view.Services[s.deployment.Name] {
+		if tried[i.Name] {
+			continue
+		}
+		if !found || i.FailureDomain == d.settings.FailureDomain && best.FailureDomain != d.settings.FailureDomain {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
+// sendService makes one attempt at s. It uses a connection of its own for a call
+// that may not be repeated, since a kept one may make the transport repeat it.
+func (d *Daemon) sendService(ctx context.Context, s *serviceCall, i fleet.Instance) (*serviceAnswer, outcome.Evidence, error) {
+	ctx, span := d.tracer.Start(ctx, "backend service", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("instance", i.Name)))
+	defer span.End()
+	var (
+		req  *http.Request
+		resp *http.Response
+		err  error
+	)
+	if req, err = http.NewRequestWithContext(ctx, s.method, "http://"+i.Address+s.path, bytes.NewReader(s.body)); err != nil {
+		return nil, outcome.Unsent, err
+	}
+	req.Header = s.header.Clone()
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	d.checkService(i)
+	s.sent++
+	d.counters.attempts.Add("service", 1)
+	if resp, err = d.fresh.Do(req); err != nil {
+		return nil, lostEvidence(err), err
+	}
+	defer resp.Body.Close()
+	answer := &serviceAnswer{status: resp.StatusCode, header: resp.Header.Clone()}
+	if answer.body, err = io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswer+1)); err != nil {
+		return nil, outcome.Partial, err
+	}
+	if len(answer.body) > maxServiceAnswer {
+		return nil, outcome.Partial, errors.New("the answer is larger than this entry instance passes on")
+	}
+	return answer, outcome.Answered, nil
+}
+
+// lostEvidence returns what an error of a call proves.
+func lostEvidence(err error) outcome.Evidence {
+	if rest.Refused(err) {
+		return outcome.Refused
+	}
+	return outcome.Lost
+}
+
+// checkService checks, right before a call is sent, what must hold for it.
+func (d *Daemon) checkService(i fleet.Instance) {
+	view := d.view.Load()
+	d.monitor.Check(!view.Configuration.DomainOut(i.FailureDomain), invariant.DomainOut, "failure domain %s is out", i.FailureDomain)
+	d.monitor.Check(time.Now().Before(view.FreshUntil), invariant.FreshView, "view is not fresh in mode %s", view.Mode)
+}
+
+// passOn passes a whole answer to the caller.
+func (d *Daemon) passOn(w http.ResponseWriter, s *serviceCall, answer *serviceAnswer) {
+	o := outcome.Of(outcome.Answered, s.idempotent, answer.status)
+	d.counters.outcomes.Add(string(o), 1)
+	for name, values := range answer.header {
+		if !slices.Contains(hopHeaders, name) && name != "Content-Length" {
+			w.Header()[name] = values
+		}
+	}
+	w.Header().Set(outcomeHeader, string(o))
+	w.WriteHeader(answer.status)
+	// The caller may be gone, and then nobody is left to tell.
+	_, _ = w.Write(answer.body)
+}
+
+// claimKey returns the key under which s is claimed. It does not show the
+// idempotency key, and differs between organisations and deployments.
+func claimKey(s *serviceCall) string {
+	sum := sha256.Sum256([]byte(s.call.organisation + "\x00" + s.deployment.Name + "\x00" + s.key))
+	return hex.EncodeToString(sum[:16])
+}
--- /dev/null
+++ b/protocol/backend/engine.go
@@ -0,0 +1,173 @@
+// Package backend speaks to backend servers: the narrow interface that an
+// adapter of a model engine offers, over HTTP.
+//
+//	GET  /v1/report                  -> fleet.Report
+//	POST /v1/orders   fleet.Order    -> fleet.OrderResult
+//	POST /v1/generate GenerateRequest -> server-sent events, a Token each
+//
+// An engine refuses a generate request with status 409 if it has not begun it.
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/rest"
+)
+
+// maxEventBytes bounds one server-sent event of an engine.
+const maxEventBytes = 1 << 20
+
+// A GenerateRequest asks the head of a replica for the tokens of one request
+// from index Start on. Prefix is the text of the tokens before Start. The
+// generation, model, adapter and version must be those that the engine has.
+type GenerateRequest struct {
+	Request    string           `json:"request"`
+	Attempt    int              `json:"attempt"`
+	Generation fleet.Generation `json:"generation"`
+	Model      string           `json:"model"`
+	Adapter    string           `json:"adapter"`
+	Version    string           `json:"version"`
+	Prompt     string           `json:"prompt"`
+	Seed       uint64           `json:"seed"`
+	Start      int              `json:"start"`
+	Prefix     string           `json:"prefix"`
+	MaxTokens  int              `json:"max_tokens"`
+	Priority   fleet.Priority   `json:"priority"`
+}
+
+// A Token is one event of a stream. The last event of a whole stream has Done
+// set, and Index is then the number of tokens of the answer.
+type Token struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Index   int    `json:"index"`
+	Text    string `json:"text"`
+	Done    bool   `json:"done"`
+}
+
+// ErrCut is the error of a stream that ended before its last event.
+var ErrCut = errors.New("stream cut before its end")
+
+// A Stream is the answer to a GenerateRequest.
+type Stream interface {
+	// Next returns the next event; io.EOF after the one that is done, ErrCut
+	// if the stream ended without it.
+	Next() (Token, error)
+	// Close cancels what is left of the stream.
+	Close() error
+}
+
+// An Engine is a model engine at an address.
+type Engine interface {
+	Report(ctx context.Context, address string) (fleet.Report, error)
+	Order(ctx context.Context, address string, order fleet.Order) (fleet.OrderResult, error)
+	Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error)
+}
+
+// A Client is an Engine over HTTP.
+type Client struct {
+	HTTP *http.Client
+}
+
+// Generate implements Engine.
+func (c *Client) Generate(ctx context.Context, address string, request GenerateRequest) (Stream, error) {
+	var (
+		body []byte
+		req  *http.Request
+		resp *http.Response
+		err  error
+	)
+	if body, err = json.Marshal(request); err != nil {
+		return nil, fmt.Errorf("encode generate request: %w", err)
+	}
+	if req, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body)); err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// Without GetBody the transport cannot send the request a second time.
+	req.GetBody = nil
+	if resp, err = c.HTTP.Do(req); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		message, _ := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+		return nil, &rest.StatusError{Status: resp.StatusCode, Message: string(bytes.TrimSpace(message))}
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(nil, maxEventBytes)
+	return &eventStream{request: request.Request, attempt: request.Attempt, next: request.Start, body: resp.Body, scanner: scanner}, nil
+}
+
+// Order implements Engine.
+func (c *Client) Order(ctx context.Context, address string, order fleet.Order) (fleet.OrderResult, error) {
+	var result fleet.OrderResult
+	if err := rest.Call(ctx, c.HTTP, http.MethodPost, "http://"+address+"/v1/orders", order, &result); err != nil {
+		return fleet.OrderResult{}, fmt.Errorf("order %s: %w", order.ID, err)
+	}
+	return result, nil
+}
+
+// Report implements Engine.
+func (c *Client) Report(ctx context.Context, address string) (fleet.Report, error) {
+	var report fleet.Report
+	if err := rest.Call(ctx, c.HTTP, http.MethodGet, "http://"+address+"/v1/report", nil, &report); err != nil {
+		return fleet.Report{}, fmt.Errorf("report of %s: %w", address, err)
+	}
+	return report, nil
+}
+
+// An eventStream reads tokens from server-sent events, and refuses any that is
+// not the next of its own request and attempt.
+type eventStream struct {
+	request string
+	attempt int
+	next    int
+	done    bool
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+}
+
+// Close implements Stream.
+func (s *eventStream) Close() error { return s.body.Close() }
+
+// Next implements Stream.
+func (s *eventStream) Next() (Token, error) {
+	if s.done {
+		return Token{}, io.EOF
+	}
+	for s.scanner.Scan() {
+		data, ok := bytes.CutPrefix(s.scanner.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		return s.accept(data)
+	}
+	if err := s.scanner.Err(); err != nil {
+		return Token{}, fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	return Token{}, ErrCut
+}
+
+// accept decodes one event and checks that it belongs to this stream.
+func (s *eventStream) accept(data []byte) (Token, error) {
+	var token Token
+	if err := json.Unmarshal(data, &token); err != nil {
+		return Token{}, fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	if token.Request != s.request || token.Attempt != s.attempt || token.Index != s.next {
+		return Token{}, fmt.Errorf("%w: event %d of request %s attempt %d, want %d of %s attempt %d",
+			ErrCut, token.Index, token.Request, token.Attempt, s.next, s.request, s.attempt)
+	}
+	s.done = token.Done
+	s.next++
+	return token, nil
+}
--- /dev/null
+++ b/protocol/operator/operator.go
@@ -0,0 +1,76 @@
+// Package operator speaks the interface for operators, which the commands use.
+//
+//	GET  /v1/status                         -> Status
+//	POST /v1/changes configuration.Record   -> ChangeResult
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/hawthornrock/hawthornrock/coordination/configuration"
+	"github.com/hawthornrock/hawthornrock/coordination/control"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/rest"
+)
+
+// A ChangeResult is what became of a change. Lasting means that the log has it;
+// Known that the verdict on it has been read back. InForce and NotInForce name
+// the daemons that have applied it and those that have not said so.
+type ChangeResult struct {
+	Verdict    configuration.Verdict `json:"verdict"`
+	Known      bool                  `json:"known"`
+	Lasting    bool                  `json:"lasting"`
+	Offset     uint64                `json:"offset"`
+	InForce    []string              `json:"in_force"`
+	NotInForce []string              `json:"not_in_force"`
+	Error      string                `json:"error,omitempty"`
+}
+
+// A Status is the state of the system as one daemon sees it.
+type Status struct {
+	Daemon      string                 `json:"daemon"`
+	Mode        string                 `json:"mode"`
+	Leaving     bool                   `json:"leaving"`
+	Offset      uint64                 `json:"offset"`
+	Revision    uint64                 `json:"revision"`
+	DomainsOut  []string               `json:"domains_out"`
+	Cordoned    []string               `json:"cordoned"`
+	Deployments []fleet.Deployment     `json:"deployments"`
+	Replicas    []control.Replica      `json:"replicas"`
+	NotServing  []control.Explanation  `json:"not_serving"`
+	Leases      []control.LeaseView    `json:"leases"`
+	Peers       []control.PeerView     `json:"peers"`
+	Entries     []control.EntryAddress `json:"entries"`
+	Violations  int64                  `json:"violations"`
+	InFlight    int                    `json:"in_flight"`
+}
+
+// A Client calls the interface of one daemon.
+type Client struct {
+	Address string
+	Token   string
+	HTTP    *http.Client
+}
+
+// Change asks for a change.
+func (c *Client) Change(ctx context.Context, record configuration.Record) (ChangeResult, error) {
+	var result ChangeResult
+	if err := rest.CallWith(ctx, c.HTTP, http.MethodPost, "http://"+c.Address+"/v1/changes", c.header(), record, &result); err != nil {
+		return ChangeResult{}, fmt.Errorf("change %s: %w", record.ID, err)
+	}
+	return result, nil
+}
+
+// Status asks for the state of the system.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	if err := rest.CallWith(ctx, c.HTTP, http.MethodGet, "http://"+c.Address+"/v1/status", c.header(), nil, &status); err != nil {
+		return Status{}, fmt.Errorf("status of %s: %w", c.Address, err)
+	}
+	return status, nil
+}
+
+// header returns the header that proves who the operator is.
+func (c *Client) header() http.Header { return http.Header{"Authorization": {"Bearer " + c.Token}} }
--- /dev/null
+++ b/protocol/platform/platform.go
@@ -0,0 +1,102 @@
+// Package platform speaks the published protocol of the platform: the
+// append-only log and the list of instances.
+//
+//	POST /v1/streams/{stream}/records   Submission -> Receipt
+//	GET  /v1/streams/{stream}/records?from=OFFSET&wait_ms=N -> Page
+//	GET  /v1/instances -> []fleet.Instance
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/rest"
+)
+
+// A Submission is a record to append. ID identifies it across retries; the log
+// itself does not remove duplicates.
+type Submission struct {
+	ID   string `json:"id"`
+	Data []byte `json:"data"`
+}
+
+// A Receipt is the answer to a Submission.
+type Receipt struct {
+	Offset uint64 `json:"offset"`
+}
+
+// A Record is one record of a stream. Offsets rise within a stream, and start at
+// one. Time is the log's own clock at the append.
+type Record struct {
+	Offset uint64    `json:"offset"`
+	ID     string    `json:"id"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// A Page is the answer to a read. Every record of the stream before Next that
+// the log still holds was returned by this read or lies before its start.
+// Horizon is the oldest offset that the log still holds.
+type Page struct {
+	Records []Record `json:"records"`
+	Next    uint64   `json:"next"`
+	Horizon uint64   `json:"horizon"`
+}
+
+// A Log is the append-only log service.
+type Log interface {
+	Append(ctx context.Context, stream string, submission Submission) (Receipt, error)
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error)
+}
+
+// A Directory is the platform's list of instances. It lags.
+type Directory interface {
+	Instances(ctx context.Context) ([]fleet.Instance, error)
+}
+
+// A Client is a Log and a Directory over HTTP.
+type Client struct {
+	Address string
+	HTTP    *http.Client
+}
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, submission Submission) (Receipt, error) {
+	var receipt Receipt
+	if err := rest.Call(ctx, c.HTTP, http.MethodPost, c.records(stream), submission, &receipt); err != nil {
+		return Receipt{}, fmt.Errorf("append to stream %s: %w", stream, err)
+	}
+	return receipt, nil
+}
+
+// Instances implements Directory.
+func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+	var instances []fleet.Instance
+	if err := rest.Call(ctx, c.HTTP, http.MethodGet, "http://"+c.Address+"/v1/instances", nil, &instances); err != nil {
+		return nil, fmt.Errorf("list instances: %w", err)
+	}
+	return instances, nil
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+	query := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var page Page
+	if err := rest.Call(ctx, c.HTTP, http.MethodGet, c.records(stream)+"?"+query.Encode(), nil, &page); err != nil {
+		return Page{}, fmt.Errorf("read stream %s: %w", stream, err)
+	}
+	return page, nil
+}
+
+// records returns the address of the records of stream.
+func (c *Client) records(stream string) string {
+	return "http://" + c.Address + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
--- /dev/null
+++ b/state/fleet/deployment.go
@@ -0,0 +1,63 @@
+package fleet
+
+import "slices"
+
+// A Priority orders deployments when capacity is short.
+type Priority string
+
+// The priorities that a sheet may name, highest first.
+const (
+	PriorityUrgent   Priority = "urgent"
+	PriorityStandard Priority = "standard"
+	PriorityDraft    Priority = "draft"
+)
+
+// Priorities returns all priorities, highest first.
+func Priorities() []Priority {
+	return []Priority{PriorityUrgent, PriorityStandard, PriorityDraft}
+}
+
+// Rank returns zero for the highest priority and more for lower ones.
+func (p Priority) Rank() int {
+	if i := slices.Index(Priorities(), p); i >= 0 {
+		return i
+	}
+	return len(Priorities())
+}
+
+// A Deployment is one row of a sheet: which model, adapter and version serves,
+// for whom and where. An empty list of organisations admits nobody. For a plain
+// service, IdempotentMethods lists the HTTP methods that may be repeated.
+type Deployment struct {
+	Name                string       `cbor:"name"                  json:"name"`
+	Kind                InstanceKind `cbor:"kind"                  json:"kind"`
+	Model               string       `cbor:"model"                 json:"model,omitempty"`
+	Adapter             string       `cbor:"adapter"               json:"adapter,omitempty"`
+	Version             string       `cbor:"version"               json:"version,omitempty"`
+	Replicas            int          `cbor:"replicas"              json:"replicas"`
+	InstancesPerReplica int          `cbor:"instances_per_replica" json:"instances_per_replica"`
+	FailureDomains      []string     `cbor:"failure_domains"       json:"failure_domains"`
+	Organisations       []string     `cbor:"organisations"         json:"organisations"`
+	Priority            Priority     `cbor:"priority"              json:"priority"`
+	IdempotentMethods   []string     `cbor:"idempotent_methods"    json:"idempotent_methods,omitempty"`
+}
+
+// Admits returns whether organisation may use d.
+func (d Deployment) Admits(organisation string) bool {
+	return slices.Contains(d.Organisations, organisation)
+}
+
+// Quota returns how many replicas of d belong in failureDomain. Replicas are
+// spread evenly, the remainder going to the domains that are listed first.
+func (d Deployment) Quota(failureDomain string) int {
+	i := slices.Index(d.FailureDomains, failureDomain)
+	if i < 0 {
+		return 0
+	}
+	n := len(d.FailureDomains)
+	quota := d.Replicas / n
+	if i < d.Replicas%n {
+		quota++
+	}
+	return quota
+}
--- /dev/null
+++ b/state/fleet/instance.go
@@ -0,0 +1,23 @@
+package fleet
+
+// An InstanceKind tells what runs on an instance.
+type InstanceKind string
+
+// The kinds of instance that the platform lists.
+const (
+	KindEngine  InstanceKind = "engine"
+	KindService InstanceKind = "service"
+)
+
+// An Instance is one entry of the platform's list of instances. The list lags,
+// so an Instance is a hint and never proof of life.
+type Instance struct {
+	Name          string       `cbor:"name"           json:"name"`
+	Address       string       `cbor:"address"        json:"address"`
+	Kind          InstanceKind `cbor:"kind"           json:"kind"`
+	Backend       string       `cbor:"backend"        json:"backend"`
+	FailureDomain string       `cbor:"failure_domain" json:"failure_domain"`
+	FabricDomain  string       `cbor:"fabric_domain"  json:"fabric_domain"`
+	Deployment    string       `cbor:"deployment"     json:"deployment,omitempty"`
+	Leaving       bool         `cbor:"leaving"        json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/state/fleet/order.go
@@ -0,0 +1,34 @@
+package fleet
+
+import "time"
+
+// An Action is what an order asks of an engine.
+type Action string
+
+// The actions that a director orders.
+const (
+	ActionJoin  Action = "join"
+	ActionLeave Action = "leave"
+)
+
+// An Order asks one instance to join or leave a replica. Fence only rises.
+// Expect is the generation that the instance must still have, and Deadline the
+// instant after which the instance must refuse the order.
+type Order struct {
+	ID         string     `cbor:"id"         json:"id"`
+	Director   string     `cbor:"director"   json:"director"`
+	Instance   string     `cbor:"instance"   json:"instance"`
+	Action     Action     `cbor:"action"     json:"action"`
+	Fence      uint64     `cbor:"fence"      json:"fence"`
+	Expect     Generation `cbor:"expect"     json:"expect"`
+	Deadline   time.Time  `cbor:"deadline"   json:"deadline"`
+	Assignment Assignment `cbor:"assignment" json:"assignment"`
+}
+
+// An OrderResult is an engine's answer to an order. Reason is empty where
+// Accepted is true. Report is the state of the instance after the order.
+type OrderResult struct {
+	Accepted bool   `cbor:"accepted" json:"accepted"`
+	Reason   string `cbor:"reason"   json:"reason,omitempty"`
+	Report   Report `cbor:"report"   json:"report"`
+}
--- /dev/null
+++ b/state/settings/settings.go
@@ -0,0 +1,341 @@
+// Package settings reads the YAML settings of a daemon. Reading is strict: an
+// unknown field is an error that names file, line and the nearest known field.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/agnivade/levenshtein"
+	"gopkg.in/yaml.v3"
+)
+
+// Settings are all settings of one daemon.
+type Settings struct {
+	Daemon        string         `yaml:"daemon"`
+	FailureDomain string         `yaml:"failure_domain"`
+	Weight        int            `yaml:"weight"`
+	Listen        Listen         `yaml:"listen"`
+	TLS           TLS            `yaml:"tls"`
+	Platform      Platform       `yaml:"platform"`
+	Peers         Peers          `yaml:"peers"`
+	Operators     []Operator     `yaml:"operators"`
+	Organisations []Organisation `yaml:"organisations"`
+	Backends      []Backend      `yaml:"backends"`
+	Limits        Limits         `yaml:"limits"`
+	Bounds        Bounds         `yaml:"bounds"`
+	Policy        Policy         `yaml:"policy"`
+	Trace         Trace          `yaml:"trace"`
+	Log           Log            `yaml:"log"`
+}
+
+// Listen holds the addresses, as host:port, that a daemon listens on.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+}
+
+// TLS holds the files of the certificate and key for every listener. Without
+// them the listeners speak plain HTTP.
+type TLS struct {
+	CertificateFile string `yaml:"certificate_file"`
+	KeyFile         string `yaml:"key_file"`
+}
+
+// Platform tells where the platform's log and list of instances are.
+type Platform struct {
+	Address string `yaml:"address"`
+}
+
+// Peers tells how daemons find and know each other. Secret is shared by all
+// daemons; SecretEnv names an environment variable that holds it instead.
+type Peers struct {
+	Seeds     []string `yaml:"seeds"`
+	Secret    string   `yaml:"secret"`
+	SecretEnv string   `yaml:"secret_env"`
+}
+
+// An Operator may change the configuration. TokenSHA256 is the hexadecimal hash
+// of the operator's token.
+type Operator struct {
+	Name        string `yaml:"name"`
+	TokenSHA256 string `yaml:"token_sha256"`
+}
+
+// An Organisation may call models. KeySHA256 holds the hexadecimal hashes of its
+// API keys.
+type Organisation struct {
+	Name      string   `yaml:"name"`
+	KeySHA256 []string `yaml:"key_sha256"`
+}
+
+// A Backend says how the backend servers of one name behave.
+type Backend struct {
+	Name          string `yaml:"name"`
+	ChecksFencing bool   `yaml:"checks_fencing"`
+}
+
+// Limits bound what callers may ask of one daemon.
+type Limits struct {
+	BodyBytes        int64         `yaml:"body_bytes"`
+	HeaderBytes      int           `yaml:"header_bytes"`
+	HeaderTimeout    time.Duration `yaml:"header_timeout"`
+	IdleTimeout      time.Duration `yaml:"idle_timeout"`
+	ConnectionAge    time.Duration `yaml:"connection_age"`
+	Connections      int           `yaml:"connections"`
+	InFlight         int           `yaml:"in_flight"`
+	InFlightPerOrg   int           `yaml:"in_flight_per_organisation"`
+	Queued           int           `yaml:"queued"`
+	RequestTimeout   time.Duration `yaml:"request_timeout"`
+	FirstTokenBudget time.Duration `yaml:"first_token_budget"`
+	Tokens           int           `yaml:"tokens"`
+	RetryBudget      float64       `yaml:"retry_budget"`
+}
+
+// Bounds are the times that the coordination of daemons is judged by. All
+// daemons of one system need the same bounds.
+type Bounds struct {
+	PollInterval      time.Duration `yaml:"poll_interval"`
+	TickInterval      time.Duration `yaml:"tick_interval"`
+	ReportAge         time.Duration `yaml:"report_age"`
+	DeadAfter         time.Duration `yaml:"dead_after"`
+	FreshnessAge      time.Duration `yaml:"freshness_age"`
+	PeerTimeout       time.Duration `yaml:"peer_timeout"`
+	PeerForget        time.Duration `yaml:"peer_forget"`
+	LeaseDuration     time.Duration `yaml:"lease_duration"`
+	LeaseGuard        time.Duration `yaml:"lease_guard"`
+	LongestOrder      time.Duration `yaml:"longest_order"`
+	ClaimTimeout      time.Duration `yaml:"claim_timeout"`
+	ClaimWindow       time.Duration `yaml:"claim_window"`
+	ClaimBatch        time.Duration `yaml:"claim_batch"`
+	EntriesMaxAge     time.Duration `yaml:"entries_max_age"`
+	SnapshotInterval  time.Duration `yaml:"snapshot_interval"`
+	QuarantineFor     time.Duration `yaml:"quarantine_for"`
+	ColdFirstTokenMul float64       `yaml:"cold_first_token_factor"`
+}
+
+// Policy selects the policies of a daemon by name.
+type Policy struct {
+	Routing   string `yaml:"routing"`
+	Placement string `yaml:"placement"`
+}
+
+// Trace tells where spans go: nowhere, to a file of JSON lines or to an OTLP
+// endpoint given as host:port.
+type Trace struct {
+	File     string  `yaml:"file"`
+	Endpoint string  `yaml:"endpoint"`
+	Ratio    float64 `yaml:"ratio"`
+}
+
+// Log tells how much a daemon logs, and to which file; standard error without
+// one.
+type Log struct {
+	Level string `yaml:"level"`
+	File  string `yaml:"file"`
+}
+
+// unknownField matches the error of yaml.v3 for a field that no type has.
+var unknownField = regexp.MustCompile(`line (\d+): field (\S+) not found in type (\S+)`)
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	return Settings{
+		Weight: 1,
+		Limits: Limits{
+			BodyBytes:        4 << 20,
+			HeaderBytes:      32 << 10,
+			HeaderTimeout:    5 * time.Second,
+			IdleTimeout:      time.Minute,
+			ConnectionAge:    5 * time.Minute,
+			Connections:      4096,
+			InFlight:         1024,
+			InFlightPerOrg:   256,
+			Queued:           512,
+			RequestTimeout:   2 * time.Minute,
+			FirstTokenBudget: 5 * time.Second,
+			Tokens:           4096,
+			RetryBudget:      0.2,
+		},
+		Bounds: Bounds{
+			PollInterval:      250 * time.Millisecond,
+			TickInterval:      200 * time.Millisecond,
+			ReportAge:         1500 * time.Millisecond,
+			DeadAfter:         1500 * time.Millisecond,
+			FreshnessAge:      3 * time.Second,
+			PeerTimeout:       2 * time.Second,
+			PeerForget:        time.Minute,
+			LeaseDuration:     6 * time.Second,
+			LeaseGuard:        time.Second,
+			LongestOrder:      2 * time.Second,
+			ClaimTimeout:      2 * time.Second,
+			ClaimWindow:       time.Hour,
+			ClaimBatch:        5 * time.Millisecond,
+			EntriesMaxAge:     10 * time.Second,
+			SnapshotInterval:  10 * time.Minute,
+			QuarantineFor:     10 * time.Minute,
+			ColdFirstTokenMul: 3,
+		},
+		Policy: Policy{Routing: "least_load", Placement: "repair"},
+		Trace:  Trace{Ratio: 1},
+		Log:    Log{Level: "info"},
+	}
+}
+
+// Parse returns the settings that text holds, over the defaults. file names the
+// text in errors. Secrets that name an environment variable are read by getenv.
+func Parse(file string, text []byte, getenv func(string) string) (Settings, error) {
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return Settings{}, explain(file, err)
+	}
+	if s.Peers.SecretEnv != "" {
+		s.Peers.Secret = getenv(s.Peers.SecretEnv)
+	}
+	if err := s.Validate(); err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// Read returns the settings in file.
+func Read(file string) (Settings, error) {
+	var (
+		text []byte
+		err  error
+	)
+	if text, err = os.ReadFile(file); err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(file, text, os.Getenv)
+}
+
+// ChecksFencing returns whether the backend servers of the given name refuse
+// orders that carry an old fencing number.
+func (s Settings) ChecksFencing(backend string) bool {
+	i := slices.IndexFunc(s.Backends, func(b Backend) bool { return b.Name == backend })
+	return i >= 0 && s.Backends[i].ChecksFencing
+}
+
+// Validate returns an error that names every setting which cannot work.
+func (s Settings) Validate() error {
+	var errs []error
+	require := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	require(s.Daemon != "", "daemon: a name is required")
+	require(s.FailureDomain != "", "failure_domain: a name is required")
+	require(s.Listen.Callers != "", "listen.callers: an address as host:port is required")
+	require(s.Listen.Operators != "", "listen.operators: an address as host:port is required")
+	require(s.Listen.Peers != "", "listen.peers: an address as host:port is required")
+	require(s.Platform.Address != "", "platform.address: an address as host:port is required")
+	require(s.Peers.Secret != "", "peers.secret: a secret is required, here or through peers.secret_env")
+	require((s.TLS.CertificateFile == "") == (s.TLS.KeyFile == ""), "tls: certificate_file and key_file go together")
+	require(s.Weight >= 0, "weight: %d is negative", s.Weight)
+	errs = append(errs, s.Bounds.validate()...)
+	errs = append(errs, s.validateNames()...)
+	return errors.Join(errs...)
+}
+
+// validate returns what is wrong with b.
+func (b Bounds) validate() []error {
+	var errs []error
+	value := reflect.ValueOf(b)
+	for i := range value.NumField() {
+		if d, ok := value.Field(i).Interface().(time.Duration); ok && d <= 0 {
+			errs = append(errs, fmt.Errorf("bounds.%s: %s is not positive", value.Type().Field(i).Tag.Get("yaml"), d))
+		}
+	}
+	if b.LeaseDuration < 2*b.LeaseGuard+b.TickInterval {
+		errs = append(errs, fmt.Errorf("bounds.lease_duration: %s leaves no time to renew before lease_guard %s", b.LeaseDuration, b.LeaseGuard))
+	}
+	if b.ReportAge <= b.PollInterval {
+		errs = append(errs, fmt.Errorf("bounds.report_age: %s must be longer than poll_interval %s", b.ReportAge, b.PollInterval))
+	}
+	return errs
+}
+
+// validateNames returns what is wrong with operators, organisations and backends.
+func (s Settings) validateNames() []error {
+	var errs []error
+	seen := make(map[string]bool)
+	hash := regexp.MustCompile(`^[0-9a-f]{64}$`)
+	for i, o := range s.Organisations {
+		if o.Name == "" || seen[o.Name] {
+			errs = append(errs, fmt.Errorf("organisations[%d].name: %q is empty or stands twice", i, o.Name))
+		}
+		seen[o.Name] = true
+		for _, h := range o.KeySHA256 {
+			if !hash.MatchString(h) {
+				errs = append(errs, fmt.Errorf("organisations[%d].key_sha256: not 64 hexadecimal digits", i))
+			}
+		}
+	}
+	for i, o := range s.Operators {
+		if o.Name == "" || !hash.MatchString(o.TokenSHA256) {
+			errs = append(errs, fmt.Errorf("operators[%d]: a name and a token_sha256 of 64 hexadecimal digits are required", i))
+		}
+	}
+	return errs
+}
+
+// explain adds the nearest known field to errors about unknown ones.
+func explain(file string, err error) error {
+	message := strings.TrimPrefix(err.Error(), "yaml: unmarshal errors:\n")
+	message = unknownField.ReplaceAllStringFunc(message, func(m string) string {
+		parts := unknownField.FindStringSubmatch(m)
+		return fmt.Sprintf("line %s: unknown field %q, did you mean %q?", parts[1], parts[2], nearest(parts[2]))
+	})
+	return fmt.Errorf("%s: %s", file, strings.TrimSpace(message))
+}
+
+// nearest returns the known field name that is closest to name.
+func nearest(name string) string {
+	best, distance := "", -1
+	for _, field := range Fields() {
+		leaf := field[strings.LastIndex(field, ".")+1:]
+		if d := levenshtein.ComputeDistance(name, leaf); distance < 0 || d < distance {
+			best, distance = leaf, d
+		}
+	}
+	return best
+}
+
+// Fields returns the names of all settings, with dots between levels, in the
+// order of their declaration.
+func Fields() []string { return fields("", reflect.TypeFor[Settings]()) }
+
+// fields returns the names of the settings in t below prefix.
+func fields(prefix string, t reflect.Type) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := prefix + f.Tag.Get("yaml")
+		ft := f.Type
+		if ft.Kind() == reflect.Slice && ft.Elem().Kind() == reflect.Struct {
+			ft, name = ft.Elem(), name+"[]"
+		}
+		if ft.Kind() == reflect.Struct {
+			out = append(out, fields(name+".", ft)...)
+		} else {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Text returns s as YAML.
+func (s Settings) Text() ([]byte, error) { return yaml.Marshal(s) }
