--- a/load/caller.go
+++ b/load/caller.go
@@ -13,6 +13,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -79,7 +80,8 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	return c.do(ctx, func(address string) Answer { return c.chat(ctx, address, body) })
+	// A model request may be repeated, so a broken stream is asked for again.
+	return c.do(ctx, func(address string) Answer { return c.chat(ctx, address, body) }, outcome.NotRun, outcome.Failed)
 }
 
 // Prompt returns the prompt that an engine sees for Chat with content.
@@ -89,11 +91,11 @@
 func (c *Caller) Service(ctx context.Context, method, deployment, path string, header http.Header, body []byte) Answer {
 	return c.do(ctx, func(address string) Answer {
 		return c.service(ctx, method, "http://"+address+"/services/"+deployment+path, header, body)
-	})
+	}, outcome.NotRun)
 }
 
-// do makes try at addresses until the request was run or may have been.
-func (c *Caller) do(ctx context.Context, try func(address string) Answer) Answer {
+// do makes try at addresses until its outcome is none of again.
+func (c *Caller) do(ctx context.Context, try func(address string) Answer, again ...outcome.Outcome) Answer {
 	started := time.Now()
 	var answer Answer
 	for n := 1; n <= maxTries; n++ {
@@ -102,7 +104,7 @@
 		answer = try(address)
 		answer.Tries, answer.Total = n, time.Since(started)
 		answer.FirstToken += began
-		if answer.Outcome != outcome.NotRun || ctx.Err() != nil {
+		if !slices.Contains(again, answer.Outcome) || ctx.Err() != nil {
 			return answer
 		}
 		c.forget(address)
