feat: random histories of the control state with the program's own invariants

Cause: promises need runs under crash, pause, partition, lost answers, outage, retention, racing operators. Now counted per head instance, and engines refuse an order that would end running requests.

--- /dev/null
+++ b/coordination/control/random_test.go
@@ -0,0 +1,338 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/configuration"
+	"github.com/hawthornrock/hawthornrock/coordination/control"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+)
+
+var (
+	histories    = flag.Int("histories", 2000, "random histories of the control state")
+	firstHistory = flag.Int("first_history", 1, "seed of the first random history")
+)
+
+const (
+	// settleTime is how soon after the last fault everything must be in order.
+	settleTime = 25 * time.Second
+	// lastFault is the time of the last fault of a history.
+	lastFault = 14 * time.Second
+)
+
+// A fault is one thing that goes wrong in a history.
+type fault struct {
+	At     time.Duration
+	Kind   string
+	Target int
+	Second int
+	For    time.Duration
+}
+
+// A history is a world and what goes wrong in it.
+type history struct {
+	Seed    uint64
+	Daemons int
+	Engines int
+	Fenced  bool
+	Faults  []fault
+}
+
+// faultKinds are the faults that a history is made of.
+var faultKinds = []string{
+	"kill_daemon", "pause_daemon", "cut_daemon_log", "cut_daemons", "cut_daemon_engine", "crash_engine", "pause_engine", "fabric_dark",
+	"log_outage", "lose_answers", "trim_log", "domain_out", "sheet", "racing_sheets", "rollback", "cordon", "restart_all", "leave_engine",
+	"isolate_daemon", "lose_engine",
+}
+
+// genHistory generates histories.
+var genHistory = rapid.Custom(func(t *rapid.T) history {
+	h := history{
+		Seed:    rapid.Uint64().Draw(t, "seed"),
+		Daemons: rapid.IntRange(2, 4).Draw(t, "daemons"),
+		Engines: rapid.IntRange(3, 6).Draw(t, "engines"),
+		Fenced:  rapid.Bool().Draw(t, "fenced"),
+	}
+	h.Faults = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			At:     time.Duration(rapid.IntRange(0, int(lastFault/time.Millisecond)).Draw(t, "at")) * time.Millisecond,
+			Kind:   rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Target: rapid.IntRange(0, 63).Draw(t, "target"),
+			Second: rapid.IntRange(0, 63).Draw(t, "second"),
+			For:    time.Duration(rapid.IntRange(100, 8000).Draw(t, "for")) * time.Millisecond,
+		}
+	}), 1, 10).Draw(t, "faults")
+	return h
+})
+
+// deployments returns the sheet of the n-th version for two failure domains.
+func deployments(version, replicas int) []fleet.Deployment {
+	return []fleet.Deployment{{
+		Name: "model", Kind: fleet.KindEngine, Model: "m", Version: fmt.Sprint(version), Replicas: replicas, InstancesPerReplica: 2,
+		FailureDomains: []string{"domain-0", "domain-1"}, Organisations: []string{"o"}, Priority: fleet.PriorityUrgent,
+	}}
+}
+
+// inject makes f happen in w.
+func inject(w *world, f fault) {
+	d := w.daemons[f.Target%len(w.daemons)]
+	second := w.daemons[(f.Target+1+f.Second%max(len(w.daemons)-1, 1))%len(w.daemons)]
+	names := slices.Sorted(maps.Keys(w.engines))
+	engine := w.engines[names[f.Second%len(names)]]
+	w.note("FAULT %s %s %s %s for %s", f.Kind, d.name, second.name, engine.instance.Name, f.For)
+	link := func(a, b string) {
+		w.cut[[2]string{a, b}] = true
+		w.after(f.For, func() { delete(w.cut, [2]string{a, b}) })
+	}
+	switch f.Kind {
+	case "kill_daemon":
+		d.up = false
+		w.after(f.For, func() { w.restart(d) })
+	case "pause_daemon":
+		d.paused = w.now.Add(f.For)
+	case "cut_daemon_log":
+		link(d.name, "log")
+	case "cut_daemons":
+		link(d.name, second.name)
+	case "isolate_daemon":
+		link(d.name, "log")
+		for _, other := range w.daemons {
+			link(d.name, other.name)
+		}
+	case "lose_engine":
+		engine.gone = true
+		w.crashEngine(engine.instance.Name, f.For)
+	case "cut_daemon_engine":
+		link(d.name, engine.instance.Name)
+	case "crash_engine":
+		w.crashEngine(engine.instance.Name, f.For)
+	case "pause_engine":
+		engine.paused = w.now.Add(f.For)
+	case "fabric_dark":
+		for _, name := range names {
+			if w.engines[name].instance.FabricDomain == engine.instance.FabricDomain {
+				w.crashEngine(name, f.For)
+			}
+		}
+	case "log_outage":
+		w.log.down = true
+		w.after(f.For, func() { w.log.down = false })
+	case "lose_answers":
+		w.log.lose = true
+		w.after(f.For, func() { w.log.lose = false })
+	case "restart_all":
+		for i, one := range w.daemons {
+			w.after(time.Duration(i)*f.For/time.Duration(len(w.daemons)), func() { one.up = false; w.restart(one) })
+		}
+	default:
+		injectChange(w, f, engine)
+	}
+}
+
+// injectChange makes an operator's fault f happen in w.
+func injectChange(w *world, f fault, engine *worldEngine) {
+	change := func(r configuration.Record) {
+		if w.log.down {
+			return
+		}
+		r.ID = fmt.Sprintf("change-%d", w.log.next[control.StreamConfiguration])
+		w.publish(control.StreamConfiguration, control.Entry{Change: &r})
+	}
+	revision := w.revision()
+	domain := fmt.Sprintf("domain-%d", f.Target%2)
+	switch f.Kind {
+	case "trim_log":
+		w.trim()
+	case "domain_out":
+		if w.log.down {
+			return
+		}
+		change(configuration.Record{Kind: configuration.KindDomainOut, Target: domain})
+		w.outSince[domain] = w.now
+		w.after(f.For, func() {
+			if !w.log.down {
+				delete(w.outSince, domain)
+				change(configuration.Record{Kind: configuration.KindDomainIn, Target: domain})
+			}
+		})
+	case "sheet":
+		change(configuration.Record{Kind: configuration.KindSheet, Base: revision, Deployments: deployments(f.Second%3, 2+f.Target%2)})
+	case "racing_sheets":
+		for i := range 2 {
+			change(configuration.Record{Kind: configuration.KindSheet, Base: revision, Deployments: deployments(f.Second%3+i, 2)})
+		}
+	case "rollback":
+		change(configuration.Record{Kind: configuration.KindRollback, Base: revision})
+	case "cordon":
+		change(configuration.Record{Kind: configuration.KindCordon, Target: engine.instance.Name})
+		w.after(f.For, func() { change(configuration.Record{Kind: configuration.KindRelease, Target: engine.instance.Name}) })
+	case "leave_engine":
+		engine.member.Report.Leaving, engine.leftAt = true, w.now
+		w.after(f.For, func() { w.crashEngine(engine.instance.Name, time.Second) })
+	}
+}
+
+// restart starts d anew.
+func (w *world) restart(d *worldDaemon) {
+	if !d.up {
+		w.start(d)
+	}
+}
+
+// revision returns the revision that the configuration on the log has.
+func (w *world) revision() uint64 {
+	var state configuration.State
+	for _, d := range w.daemons {
+		state = state.Restore(d.core.Configuration())
+	}
+	return state.Revision
+}
+
+// trim drops all but the newest records of each stream, as retention does. A
+// snapshot is published every two seconds, well within what stays.
+func (w *world) trim() {
+	for s, records := range w.log.streams {
+		kept := slices.DeleteFunc(slices.Clone(records), func(r record) bool { return w.now.Sub(r.at) > 6*time.Second })
+		w.log.streams[s] = kept
+	}
+}
+
+// play runs h and returns what was broken, and the world.
+func play(h history) (*world, []string) {
+	w := newWorld(h.Seed, h.Daemons, h.Engines, h.Fenced)
+	w.after(0, func() {
+		w.publish(control.StreamConfiguration, control.Entry{Change: &configuration.Record{
+			ID: "first", Kind: configuration.KindSheet, Deployments: deployments(0, 2),
+		}})
+	})
+	for _, f := range h.Faults {
+		w.after(5*time.Second+f.At, func() { inject(w, f) })
+	}
+	w.run(5*time.Second + lastFault + 10*time.Second)
+	w.heal()
+	w.run(settleTime)
+	return w, append(w.broken, w.unsettled()...)
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.note("HEAL")
+	w.cut = make(map[[2]string]bool)
+	w.log.down, w.log.lose = false, false
+	for _, d := range w.daemons {
+		d.paused = time.Time{}
+		w.restart(d)
+	}
+	for domain := range w.outSince {
+		delete(w.outSince, domain)
+	}
+	for _, kind := range []configuration.Kind{configuration.KindDomainIn} {
+		for _, domain := range []string{"domain-0", "domain-1"} {
+			id := fmt.Sprintf("heal-%s-%s", kind, domain)
+			w.publish(control.StreamConfiguration, control.Entry{Change: &configuration.Record{ID: id, Kind: kind, Target: domain}})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.engines)) {
+		e := w.engines[name]
+		e.paused = time.Time{}
+		if !e.up && !e.gone {
+			w.boot(e)
+		}
+		if e.member.Report.Leaving {
+			w.crashEngine(name, time.Second)
+		}
+		id := "heal-" + name
+		w.publish(control.StreamConfiguration, control.Entry{Change: &configuration.Record{ID: id, Kind: configuration.KindRelease, Target: name}})
+	}
+}
+
+// unsettled returns what is not in order after all faults have ended: every
+// daemon must serve every replica that can be formed.
+func (w *world) unsettled() []string {
+	var out []string
+	var state configuration.State
+	for _, d := range w.daemons {
+		state = state.Restore(d.core.Configuration())
+	}
+	want := 0
+	for _, deployment := range state.Deployments {
+		for _, domain := range deployment.FailureDomains {
+			room := 0
+			for _, e := range w.engines {
+				if e.instance.FailureDomain == domain && !e.gone {
+					room++
+				}
+			}
+			want += min(deployment.Quota(domain), room/deployment.InstancesPerReplica)
+		}
+	}
+	for _, d := range w.daemons {
+		view := d.core.View(w.now)
+		if have := len(view.Replicas["model"]); have < want {
+			out = append(out, fmt.Sprintf("%s serves %d replicas of %d: %v", d.name, have, want, view.Explanations))
+		}
+		if config := d.core.Configuration(); config.Offset != w.log.next[control.StreamConfiguration]-1 {
+			out = append(out, fmt.Sprintf("%s is at offset %d of %d", d.name, config.Offset, w.log.next[control.StreamConfiguration]-1))
+		}
+	}
+	if w.finished == 0 {
+		out = append(out, "no request was answered")
+	}
+	return out
+}
+
+// shrink returns the fewest faults of h that still break something.
+func shrink(h history) history {
+	for i := 0; i < len(h.Faults); {
+		fewer := h
+		fewer.Faults = slices.Delete(slices.Clone(h.Faults), i, i+1)
+		if _, broken := play(fewer); len(broken) > 0 {
+			h = fewer
+			continue
+		}
+		i++
+	}
+	return h
+}
+
+func TestRandomHistories(t *testing.T) {
+	workers := runtime.GOMAXPROCS(0)
+	var next atomic.Int64
+	for worker := range workers {
+		t.Run(fmt.Sprintf("worker_%d", worker), func(t *testing.T) {
+			t.Parallel()
+			for {
+				n := int(next.Add(1)) - 1
+				if n >= *histories || t.Failed() {
+					return
+				}
+				requireHolds(t, *firstHistory+n)
+			}
+		})
+	}
+}
+
+// requireHolds plays the history of a seed and fails with its shortest form if
+// anything is broken.
+func requireHolds(t *testing.T, seed int) {
+	t.Helper()
+	h := genHistory.Example(seed)
+	if _, broken := play(h); len(broken) == 0 {
+		return
+	}
+	h = shrink(h)
+	w, broken := play(h)
+	require.Failf(t, "a random history breaks a promise", "run with -first_history %d -histories 1\n%+v\n%s\n%s",
+		seed, h, strings.Join(broken, "\n"), strings.Join(w.trace[max(0, len(w.trace)-60):], "\n"))
+}
--- /dev/null
+++ b/coordination/control/world_test.go
@@ -0,0 +1,515 @@
+package control_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/admission"
+	"github.com/hawthornrock/hawthornrock/coordination/configuration"
+	"github.com/hawthornrock/hawthornrock/coordination/control"
+	"github.com/hawthornrock/hawthornrock/coordination/freshness"
+	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/coordination/lease"
+	"github.com/hawthornrock/hawthornrock/standin"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+)
+
+const (
+	// tickInterval, readInterval, pollInterval and listInterval are the rhythms of a daemon.
+	tickInterval = 200 * time.Millisecond
+	readInterval = 250 * time.Millisecond
+	pollInterval = 250 * time.Millisecond
+	listInterval = 500 * time.Millisecond
+	// workInterval is the time between requests that reach a daemon.
+	workInterval = 120 * time.Millisecond
+	// loadTime is how long an engine loads weights.
+	loadTime = 400 * time.Millisecond
+	// longestDelay bounds the delay of one message.
+	longestDelay = 300 * time.Millisecond
+	// effectBound is how soon a decision must be in force.
+	effectBound = 4 * time.Second
+	// coldLimit and warmAfter are traits of the engines.
+	coldLimit = 2
+	warmAfter = 5
+)
+
+// bounds returns the bounds that all daemons of a world share.
+func bounds() control.Bounds {
+	return control.Bounds{
+		Freshness:        freshness.Bounds{MaxAge: 3 * time.Second, PeerTimeout: 2 * time.Second},
+		Lease:            lease.Terms{Duration: 3 * time.Second, Guard: 500 * time.Millisecond, LongestOrder: time.Second},
+		ReportAge:        1500 * time.Millisecond,
+		DeadAfter:        1500 * time.Millisecond,
+		PeerForget:       20 * time.Second,
+		SnapshotInterval: 2 * time.Second,
+	}
+}
+
+// A record is one record of a world's log.
+type record struct {
+	offset uint64
+	at     time.Time
+	entry  control.Entry
+}
+
+// A worldLog is the log of a world.
+type worldLog struct {
+	streams map[control.Stream][]record
+	next    map[control.Stream]uint64
+	down    bool
+	lose    bool
+}
+
+// A worldEngine is one engine of a world, with what it ran.
+type worldEngine struct {
+	instance fleet.Instance
+	member   standin.Member
+	up       bool
+	paused   time.Time
+	ready    time.Time
+	running  int
+	served   int
+	lostAt   time.Time
+	leftAt   time.Time
+	gone     bool
+}
+
+// A worldDaemon is one daemon of a world.
+type worldDaemon struct {
+	name     string
+	domain   string
+	core     *control.Core
+	up       bool
+	paused   time.Time
+	life     int
+	from     map[control.Stream]uint64
+	inFlight map[string]int
+	offset   uint64
+	held     []func()
+}
+
+// A world is several daemons, a log and engines, on a simulated clock.
+type world struct {
+	now     time.Time
+	random  *rand.Rand
+	log     worldLog
+	engines map[string]*worldEngine
+	daemons []*worldDaemon
+	cut     map[[2]string]bool
+	events  eventQueue
+	order   int
+	monitor invariant.Monitor
+	broken  []string
+	trace   []string
+
+	verdicts map[string]configuration.Verdict
+	fenced   bool
+	outSince map[string]time.Time
+	given    int
+	finished int
+}
+
+// An event is something that happens in a world at a time.
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+// An eventQueue is a heap of events by time.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// newWorld returns a world of daemons in two failure domains with engines each.
+func newWorld(seed uint64, daemons, engines int, fenced bool) *world {
+	w := &world{
+		now:     time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		engines: make(map[string]*worldEngine), cut: make(map[[2]string]bool),
+		verdicts: make(map[string]configuration.Verdict), outSince: make(map[string]time.Time), fenced: fenced,
+		log: worldLog{streams: make(map[control.Stream][]record), next: map[control.Stream]uint64{
+			control.StreamConfiguration: 1, control.StreamSystem: 1,
+		}},
+	}
+	w.monitor.Report = func(p invariant.Promise, message string) {
+		w.broken = append(w.broken, fmt.Sprintf("%s: %s", p, message))
+		w.note("BROKEN %s: %s", p, message)
+	}
+	for i := range 2 * engines {
+		domain := fmt.Sprintf("domain-%d", i%2)
+		name := fmt.Sprintf("%s-engine-%d", domain, i/2)
+		e := &worldEngine{instance: fleet.Instance{
+			Name: name, Address: name, Kind: fleet.KindEngine, FailureDomain: domain, FabricDomain: domain + "-fabric",
+		}}
+		w.engines[name] = e
+		w.boot(e)
+	}
+	for i := range daemons {
+		d := &worldDaemon{name: fmt.Sprintf("daemon-%d", i), domain: fmt.Sprintf("domain-%d", i%2)}
+		w.daemons = append(w.daemons, d)
+		w.start(d)
+	}
+	return w
+}
+
+// after schedules f.
+func (w *world) after(d time.Duration, f func()) {
+	w.order++
+	heap.Push(&w.events, event{at: w.now.Add(d), order: w.order, run: f})
+}
+
+// boot puts e in the state of a process that has just started.
+func (w *world) boot(e *worldEngine) {
+	stale, orders := e.member.Stale, e.member.Orders
+	e.member = standin.Member{ChecksFencing: w.fenced, Stale: stale, Orders: orders}
+	e.member.Report = fleet.Report{
+		Instance: e.instance.Name, Incarnation: uint64(w.now.UnixNano()), Phase: fleet.PhaseIdle, Slots: 16, ColdLimit: coldLimit,
+	}
+	e.up, e.running, e.served = true, 0, 0
+}
+
+// crashEngine ends e until it boots again.
+func (w *world) crashEngine(name string, down time.Duration) {
+	e := w.engines[name]
+	if !e.up {
+		return
+	}
+	w.note("engine %s down for %s", name, down)
+	e.up, e.running, e.lostAt = false, 0, w.now
+	w.after(down, func() {
+		if !e.up && !e.gone {
+			w.boot(e)
+		}
+	})
+}
+
+// delay returns how long a message takes.
+func (w *world) delay() time.Duration {
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(longestDelay)))/time.Duration(1+w.random.IntN(20))
+}
+
+// deliver runs f at d, now or when d resumes; never if d has died meanwhile.
+func (w *world) deliver(d *worldDaemon, life int, f func()) {
+	if !d.up || d.life != life {
+		return
+	}
+	if w.now.Before(d.paused) {
+		w.after(d.paused.Sub(w.now), func() { w.deliver(d, life, f) })
+		return
+	}
+	f()
+}
+
+// every runs f at d at an interval while d lives.
+func (w *world) every(d *worldDaemon, interval time.Duration, f func()) {
+	life := d.life
+	var again func()
+	again = func() {
+		w.deliver(d, life, func() {
+			f()
+			w.after(interval, again)
+		})
+	}
+	w.after(time.Duration(w.random.Int64N(int64(interval))), again)
+}
+
+// give lets d give one request to a replica, as an entry instance does, and
+// checks against the truth what must hold for it.
+func (w *world) give(d *worldDaemon) {
+	view := d.core.View(w.now)
+	if view.Mode == freshness.ModeIsolated || !w.now.Before(view.FreshUntil) || view.Leaving {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Replicas)) {
+		for _, r := range view.Replicas[name] {
+			key := r.Head.Name
+			limit := admission.Limit(admission.Server{Warm: r.Warm, Directed: r.Directed, Slots: r.Slots, ColdLimit: r.ColdLimit})
+			count := d.inFlight[key]
+			if !r.Warm {
+				count = max(count, r.Running)
+			}
+			if !w.now.Before(r.ValidUntil) || count >= limit {
+				continue
+			}
+			w.work(d, r, key)
+		}
+	}
+}
+
+// work gives one request to r.
+func (w *world) work(d *worldDaemon, r control.Replica, key string) {
+	w.given++
+	if since, out := w.outSince[r.FailureDomain]; out {
+		w.monitor.Check(w.now.Sub(since) < effectBound, invariant.DomainOut, "%s gives work to %s, out for %s", d.name, r.Name, w.now.Sub(since))
+	}
+	for _, member := range r.Members {
+		e := w.engines[member]
+		missing := !e.up || e.member.Report.Assignment.Generation != r.Generation
+		w.monitor.Check(!e.member.Report.Leaving || w.now.Sub(e.leftAt) < effectBound, invariant.LeavingServer,
+			"%s gives work to %s, whose %s leaves since %s", d.name, r.Name, member, w.now.Sub(e.leftAt))
+		w.monitor.Check(!missing || w.now.Sub(e.lostAt) < effectBound, invariant.CompleteReplica,
+			"%s gives work to %s, whose %s is missing for %s", d.name, r.Name, member, w.now.Sub(e.lostAt))
+	}
+	life := d.life
+	d.inFlight[key]++
+	w.after(w.delay(), func() { w.begin(d, life, r, key) })
+}
+
+// begin lets the head of r take or refuse a request.
+func (w *world) begin(d *worldDaemon, life int, r control.Replica, key string) {
+	head := w.engines[r.Head.Name]
+	done := func() {
+		if d.life == life {
+			d.inFlight[key]--
+		}
+	}
+	if w.cutOff(d.name, head.instance.Name) || !head.up || w.now.Before(head.paused) || head.member.Report.Assignment.Generation != r.Generation ||
+		head.member.Report.Phase != fleet.PhaseReady || w.incomplete(r) {
+		done()
+		return
+	}
+	head.running++
+	head.member.Report.Running = head.running
+	cold := !head.member.Report.Warm
+	w.monitor.Check(!cold || head.running <= coldLimit, invariant.ColdLimit, "%s runs %d cold, the last from %s", head.instance.Name, head.running, d.name)
+	boot := head.member.Report.Incarnation
+	w.after(w.delay()*3, func() {
+		done()
+		if head.up && head.member.Report.Incarnation == boot {
+			head.running--
+			head.member.Report.Running = head.running
+			w.finished++
+			if head.served++; head.served >= warmAfter {
+				head.member.Report.Warm = true
+			}
+		}
+	})
+}
+
+// incomplete returns whether a member of r is not in its generation now.
+func (w *world) incomplete(r control.Replica) bool {
+	return slices.ContainsFunc(r.Members, func(name string) bool {
+		e := w.engines[name]
+		return !e.up || e.member.Report.Assignment.Generation != r.Generation
+	})
+}
+
+// cutOff returns whether a and b cannot reach each other.
+func (w *world) cutOff(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+
+// note adds a line to the trace.
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, w.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// obey lets an engine carry out an order that has arrived.
+func (w *world) obey(name string, o fleet.Order) (fleet.OrderResult, bool) {
+	e := w.engines[name]
+	if !e.up || w.now.Before(e.paused) {
+		return fleet.OrderResult{}, false
+	}
+	before, stale := e.member.Report.Assignment.Generation, e.member.Stale
+	result, ready := e.member.Obey(w.now, o, loadTime)
+	w.monitor.Check(e.member.Stale == stale, invariant.OneDirector, "%s took order %s of an earlier term from %s", name, o.ID, o.Director)
+	if e.member.Report.Assignment.Generation != before {
+		e.lostAt = w.now
+		w.note("%s obeys %s of %s", name, o.ID, o.Director)
+	}
+	if !ready.IsZero() {
+		boot, generation := e.member.Report.Incarnation, o.Assignment.Generation
+		e.served = 0
+		w.after(ready.Sub(w.now), func() {
+			r := &e.member.Report
+			if e.up && r.Incarnation == boot && r.Assignment.Generation == generation && r.Phase == fleet.PhaseLoading {
+				r.Phase = fleet.PhaseReady
+			}
+		})
+	}
+	return result, true
+}
+
+// run runs the world until its clock has advanced by d.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e, ok := heap.Pop(&w.events).(event)
+		if !ok {
+			return
+		}
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// start starts a daemon with nothing but its settings.
+func (w *world) start(d *worldDaemon) {
+	d.life++
+	d.up, d.paused, d.offset = true, time.Time{}, 0
+	d.from = map[control.Stream]uint64{control.StreamConfiguration: 1, control.StreamSystem: 1}
+	d.inFlight = make(map[string]int)
+	self := control.Self{Daemon: d.name, Incarnation: fmt.Sprint(d.life), FailureDomain: d.domain, CallerAddress: d.name, Weight: 1}
+	d.core = control.New(self, bounds())
+	w.every(d, tickInterval, func() { w.step(d, control.Tick{}) })
+	w.every(d, readInterval, func() { w.read(d, control.StreamConfiguration) })
+	w.every(d, readInterval, func() { w.read(d, control.StreamSystem) })
+	w.every(d, listInterval, func() { w.list(d) })
+	w.every(d, workInterval, func() { w.give(d) })
+	for _, name := range slices.Sorted(maps.Keys(w.engines)) {
+		w.every(d, pollInterval, func() { w.poll(d, w.engines[name]) })
+	}
+}
+
+// step gives e to d and carries out the commands.
+func (w *world) step(d *worldDaemon, e control.Event) {
+	life := d.life
+	for _, command := range d.core.Step(w.now, e) {
+		switch c := command.(type) {
+		case control.Append:
+			w.after(w.delay(), func() { w.append(d, life, c) })
+		case control.Send:
+			w.send(d, life, c)
+		case control.Broadcast:
+			for _, other := range w.daemons {
+				if other != d {
+					w.heartbeat(d, other, c.Heartbeat)
+				}
+			}
+		}
+	}
+	config := d.core.Configuration()
+	w.monitor.Check(config.Offset >= d.offset, invariant.ConfigurationOffset, "%s went from offset %d to %d", d.name, d.offset, config.Offset)
+	if config.Offset > d.offset {
+		w.agree(d, config)
+	}
+	d.offset = config.Offset
+}
+
+// agree checks that all daemons reach the same verdicts.
+func (w *world) agree(d *worldDaemon, config configuration.State) {
+	for _, v := range config.Verdicts {
+		known, ok := w.verdicts[v.ID]
+		if !ok {
+			w.verdicts[v.ID] = v
+			continue
+		}
+		w.monitor.Check(known.Accepted == v.Accepted && known.Offset == v.Offset, invariant.ConfigurationOffset,
+			"%s says of %s: %v at %d, another said %v at %d", d.name, v.ID, v.Accepted, v.Offset, known.Accepted, known.Offset)
+	}
+}
+
+// append lets the log take a record, and loses the answer where faults say so.
+func (w *world) append(d *worldDaemon, life int, c control.Append) {
+	var err error
+	if w.log.down || w.cutOff(d.name, "log") {
+		err = fmt.Errorf("the log does not answer")
+	} else {
+		w.publish(c.Stream, c.Entry)
+		if w.log.lose && w.random.IntN(3) == 0 {
+			err = fmt.Errorf("the answer was lost")
+		}
+	}
+	w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, control.AppendDone{Append: c, Err: err}) }) })
+}
+
+// publish appends an entry to the log.
+func (w *world) publish(s control.Stream, e control.Entry) uint64 {
+	e.Offset = w.log.next[s]
+	w.log.next[s]++
+	w.log.streams[s] = append(w.log.streams[s], record{offset: e.Offset, at: w.now, entry: e})
+	return e.Offset
+}
+
+// read lets d read a stream.
+func (w *world) read(d *worldDaemon, s control.Stream) {
+	asked, life := w.now, d.life
+	w.after(w.delay(), func() {
+		if w.log.down || w.cutOff(d.name, "log") {
+			w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, control.LogFailed{}) }) })
+			return
+		}
+		read := control.LogRead{Stream: s, AskedAt: asked, Next: w.log.next[s], Horizon: w.log.next[s]}
+		if records := w.log.streams[s]; len(records) > 0 {
+			read.Horizon = records[0].offset
+		}
+		for _, r := range w.log.streams[s] {
+			if r.offset >= d.from[s] {
+				read.Entries = append(read.Entries, r.entry)
+			}
+		}
+		w.after(w.delay(), func() {
+			w.deliver(d, life, func() {
+				// Reads overlap here, so that one may bring records twice or late.
+				d.from[s] = max(d.from[s], read.Next)
+				w.step(d, read)
+			})
+		})
+	})
+}
+
+// list lets d read the list of instances, which shows an engine as leaving late.
+func (w *world) list(d *worldDaemon) {
+	var all []fleet.Instance
+	for _, name := range slices.Sorted(maps.Keys(w.engines)) {
+		all = append(all, w.engines[name].instance)
+	}
+	w.step(d, control.Listed{Instances: all})
+}
+
+// poll lets d ask an engine for its report.
+func (w *world) poll(d *worldDaemon, e *worldEngine) {
+	asked, life := w.now, d.life
+	w.after(w.delay(), func() {
+		var answer control.Event = control.ReportFailed{Instance: e.instance.Name, Refused: !e.up && !w.cutOff(d.name, e.instance.Name)}
+		if e.up && !w.now.Before(e.paused) && !w.cutOff(d.name, e.instance.Name) {
+			answer = control.Reported{Report: e.member.Report, AskedAt: asked}
+		}
+		w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, answer) }) })
+	})
+}
+
+// send sends an order, unless the lease has ended; a pause may fall between.
+func (w *world) send(d *worldDaemon, life int, c control.Send) {
+	if !w.now.Before(c.Until) {
+		return
+	}
+	w.after(w.delay(), func() {
+		done := control.OrderDone{Order: c.Order, Err: fmt.Errorf("no answer")}
+		if !w.cutOff(d.name, c.Order.Instance) {
+			if result, ok := w.obey(c.Order.Instance, c.Order); ok {
+				done.Result, done.Err = result, nil
+			}
+		}
+		if w.random.IntN(10) == 0 {
+			done.Err = fmt.Errorf("the answer was lost")
+		}
+		w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, done) }) })
+	})
+}
+
+// heartbeat carries a heartbeat from one daemon to another.
+func (w *world) heartbeat(from, to *worldDaemon, h control.Heartbeat) {
+	if w.cutOff(from.name, to.name) || w.random.IntN(20) == 0 {
+		return
+	}
+	life := to.life
+	w.after(w.delay(), func() { w.deliver(to, life, func() { w.step(to, control.PeerHeard{Heartbeat: h}) }) })
+}
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -7,15 +7,11 @@
 	"github.com/hawthornrock/hawthornrock/coordination/control"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/routing"
-	"github.com/hawthornrock/hawthornrock/state/fleet"
 )
 
-// A slotKey names what in-flight requests are counted for: one membership of one
-// replica.
-type slotKey struct {
-	replica    string
-	generation fleet.Generation
-}
+// A slotKey names what in-flight requests are counted for: the instance that
+// heads a replica. Requests of an earlier membership still weigh on it.
+type slotKey string
 
 // A slot is one place at a replica that a request holds.
 type slot struct {
@@ -213,4 +209,4 @@
 }
 
 // keyOf returns the key under which requests at r are counted.
-func keyOf(r control.Replica) slotKey { return slotKey{replica: r.Name, generation: r.Generation} }
+func keyOf(r control.Replica) slotKey { return slotKey(r.Head.Name) }
--- a/standin/member.go
+++ b/standin/member.go
@@ -52,9 +52,7 @@
 		return time.Time{}
 	}
 	m.Report.Assignment = order.Assignment
-	same := !before.Free() && before.Model == order.Assignment.Model &&
-		before.Adapter == order.Assignment.Adapter && before.Version == order.Assignment.Version
-	if same && m.Report.Phase == fleet.PhaseReady {
+	if !before.Free() && sameContents(before, order.Assignment) && m.Report.Phase == fleet.PhaseReady {
 		return time.Time{}
 	}
 	m.Report.Phase, m.Report.Warm = fleet.PhaseLoading, false
@@ -72,6 +70,18 @@
 		return "unexpected generation"
 	case m.Report.Leaving && order.Action == fleet.ActionJoin:
 		return "leaving"
+	case m.Report.Running > 0 && m.interrupts(order):
+		return "busy"
 	}
 	return ""
 }
+
+// interrupts returns whether order would end the requests that are running.
+func (m *Member) interrupts(order fleet.Order) bool {
+	return order.Action == fleet.ActionLeave || !sameContents(m.Report.Assignment, order.Assignment)
+}
+
+// sameContents returns whether a and b have the same weights.
+func sameContents(a, b fleet.Assignment) bool {
+	return a.Model == b.Model && a.Adapter == b.Adapter && a.Version == b.Version
+}
