fix: warmth of a replica is its head's, a broken stream counts at once

Cause: a replica counted as warm only when every member said so, but members other than the head run no requests: no replica of two ever grew warm, and only its director used it. Found by a test that waits for warmth; the histories could not see it, as nothing they checked needs a warm replica. Cause 2: after a crash the same replica was tried again until its next report, so one marked request used up its six attempts. First-hand evidence now counts.

--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -38,6 +38,7 @@
 	report     fleet.Report
 	reportedAt time.Time
 	refused    bool
+	brokeAt    time.Time
 	ordered    map[string]time.Time
 }
 
@@ -64,6 +65,7 @@
 	peers      map[string]*peer
 	sequence   uint64
 	domainTerm map[string]termStart
+	startedAt  time.Time
 }
 
 // A termStart is when this daemon first acted under a term.
@@ -110,6 +112,8 @@
 		c.reported(e)
 	case ReportFailed:
 		c.reportFailed(e)
+	case Broke:
+		c.broke(e)
 	case OrderDone:
 		c.orderDone(now, e)
 	case PeerHeard:
@@ -156,6 +160,13 @@
 	c.config, _ = c.config.Apply(offset, record)
 }
 
+// broke takes first-hand evidence that an instance failed.
+func (c *Core) broke(e Broke) {
+	if s, ok := c.instances[e.Instance]; ok && e.BrokeAt.After(s.brokeAt) {
+		s.brokeAt = e.BrokeAt
+	}
+}
+
 // daemons returns how many daemons this one counts as live, itself included.
 func (c *Core) daemons(now time.Time) int {
 	n := 1
@@ -322,7 +333,7 @@
 
 // current returns whether s was reported lately enough to give work on.
 func (c *Core) current(now time.Time, s *sighting) bool {
-	return !s.reportedAt.IsZero() && !s.refused && now.Sub(s.reportedAt) < c.bounds.ReportAge
+	return s.reportedAt.After(s.brokeAt) && !s.refused && now.Sub(s.reportedAt) < c.bounds.ReportAge
 }
 
 // viewReplicas adds to v the complete replicas, and an explanation for each one
@@ -354,7 +365,7 @@
 func (c *Core) replica(now time.Time, a fleet.Assignment) (Replica, Explanation) {
 	r := Replica{
 		Name: a.Replica, Deployment: a.Deployment, Model: a.Model, Adapter: a.Adapter, Version: a.Version,
-		Generation: a.Generation, Members: a.Members, Warm: true,
+		Generation: a.Generation, Members: a.Members,
 	}
 	for rank, name := range a.Members {
 		s, ok := c.instances[name]
@@ -364,10 +375,10 @@
 		if why, next := c.unfit(now, s, a); why != "" {
 			return r, Explanation{a.Replica, name + " " + why, next}
 		}
-		r.Warm = r.Warm && s.report.Warm
 		until := s.reportedAt.Add(c.bounds.ReportAge)
 		if rank == 0 {
 			r.Head, r.FailureDomain, r.ValidUntil = s.instance, s.instance.FailureDomain, until
+			r.Warm = s.report.Warm
 			r.Slots, r.ColdLimit, r.Running = s.report.Slots, s.report.ColdLimit, s.report.Running
 		}
 		if until.Before(r.ValidUntil) {
--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -15,15 +15,33 @@
 // tick claims and renews leases, directs the failure domains that this daemon
 // holds, re-publishes the configuration ahead of retention and beats.
 func (c *Core) tick(now time.Time) []Command {
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
 	var out []Command
 	for _, domain := range c.domainsByName() {
 		out = append(out, c.claim(now, domain)...)
 		out = append(out, c.direct(now, domain)...)
 	}
 	out = append(out, c.republish(now)...)
+	c.forgetPeers(now)
 	return append(out, Broadcast{Heartbeat: c.heartbeat(now)})
 }
 
+// forgetPeers forgets daemons that have been silent for long, unless the log is
+// away: then they still count among those that may know of a change.
+func (c *Core) forgetPeers(now time.Time) {
+	if c.fresh.LogDown {
+		return
+	}
+	for name, p := range c.peers {
+		if now.Sub(p.heardAt) >= c.bounds.PeerForget {
+			delete(c.peers, name)
+			delete(c.fresh.Peers, name)
+		}
+	}
+}
+
 // claim returns the append that takes or renews the lease of domain, if due. A
 // daemon that is leaving, or whose view is not confirmed by the log, claims
 // nothing; daemons of other failure domains leave the first claim to those of
@@ -32,7 +50,7 @@
 	if c.leaving || c.fresh.LogDown || c.config.Offset == 0 {
 		return nil
 	}
-	if domain != c.self.FailureDomain && c.localDaemon(now, domain) && c.keeper.Lease(domain).Holder != c.keeper.Self {
+	if domain != c.self.FailureDomain && c.keeper.Lease(domain).Holder != c.keeper.Self && c.leaveToLocal(now, domain) {
 		return nil
 	}
 	claim, ok := c.keeper.Want(now, domain)
@@ -43,8 +61,12 @@
 	return []Command{Append{Stream: StreamSystem, ID: claim.ID, Entry: Entry{Lease: &claim}}}
 }
 
-// localDaemon returns whether a live peer runs in domain.
-func (c *Core) localDaemon(now time.Time, domain string) bool {
+// leaveToLocal returns whether the claim of domain is left to a daemon that runs
+// there. A daemon that has just started does not know yet whether there is one.
+func (c *Core) leaveToLocal(now time.Time, domain string) bool {
+	if now.Sub(c.startedAt) < c.bounds.Freshness.PeerTimeout {
+		return true
+	}
 	for _, p := range c.peers {
 		live := now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving
 		if live && p.heartbeat.FailureDomain == domain {
--- a/coordination/control/event.go
+++ b/coordination/control/event.go
@@ -56,6 +56,14 @@
 	Refused  bool
 }
 
+// Broke reports first-hand evidence, at BrokeAt, that an instance failed: a stream
+// from it was cut or a connection to it broke. Its reports count again from one
+// that was asked for later.
+type Broke struct {
+	Instance string
+	BrokeAt  time.Time
+}
+
 // OrderDone reports the end of a Send command.
 type OrderDone struct {
 	Order  fleet.Order
@@ -78,6 +86,7 @@
 func (Listed) event()       {}
 func (Reported) event()     {}
 func (ReportFailed) event() {}
+func (Broke) event()        {}
 func (OrderDone) event()    {}
 func (PeerHeard) event()    {}
 func (Leave) event()        {}
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -109,6 +109,8 @@
 	verdicts map[string]configuration.Verdict
 	fenced   bool
 	outSince map[string]time.Time
+	outAsked []asked
+	outageAt time.Time
 	given    int
 	finished int
 }
@@ -401,6 +403,38 @@
 		w.agree(d, config)
 	}
 	d.offset = config.Offset
+	w.accept()
+}
+
+// An asked is a failure domain that an operator has taken out by a record.
+type asked struct {
+	domain string
+	offset uint64
+	at     time.Time
+}
+
+// accept counts a domain as out: from when the record was appended, unless the
+// log went away before most daemons had read it. Then the operator's command
+// does not say that it is in force, and it counts from when most have it.
+func (w *world) accept() {
+	w.outAsked = slices.DeleteFunc(w.outAsked, func(a asked) bool {
+		have := 0
+		for _, d := range w.daemons {
+			if d.offset >= a.offset {
+				have++
+			}
+		}
+		most, quiet := 2*have > len(w.daemons), !w.outageAt.After(a.at) && !w.log.down
+		switch {
+		case !most && (!quiet || w.now.Sub(a.at) < effectBound):
+			return false
+		case quiet:
+			w.outSince[a.domain] = a.at
+		default:
+			w.outSince[a.domain] = w.now
+		}
+		return true
+	})
 }
 
 // agree checks that all daemons reach the same verdicts.
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -9,12 +9,15 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A Candidate is one replica that may run a request. InFlight counts the
+// A Candidate is one replica that may run a request. Near means that it is in the
+// daemon's own failure domain, Warming that it is cold and that this daemon alone
+// may warm it. InFlight counts the
 // requests that this daemon has given it, Reported those that its last report
 // spoke of, and Limit how many this daemon may give it at once.
 type Candidate struct {
 	Name     string
 	Near     bool
+	Warming  bool
 	InFlight int
 	Reported int
 	Limit    int
@@ -72,8 +75,8 @@
 	return best
 }
 
-// least returns the free candidate with the least work; ties go to a near one,
-// then by hash of key and name, so that daemons do not all choose the same.
+// least returns the free candidate with the least work; ties go to one that is
+// to be warmed, then to a near one, then by hash of key and name, so that daemons do not all choose the same.
 func least(key string, candidates []Candidate) int {
 	best := -1
 	for i, c := range candidates {
@@ -89,16 +92,21 @@
 
 // compare orders candidates from best to worst.
 func compare(key string, a, b Candidate) int {
-	near := func(c Candidate) int {
-		if c.Near {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.load(), b.load()), cmp.Compare(near(a), near(b)),
+	return cmp.Or(cmp.Compare(a.load(), b.load()), first(a.Warming, b.Warming), first(a.Near, b.Near),
 		cmp.Compare(weight(key, a.Name), weight(key, b.Name)))
 }
 
+// first orders true before false.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // rendezvous returns the candidate with the highest weight for key.
 func rendezvous(key string, candidates []Candidate) int {
 	i := 0
--- a/demo/system.go
+++ b/demo/system.go
@@ -29,6 +29,9 @@
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
 
+// startTimeout bounds the wait for daemons to start.
+const startTimeout = 10 * time.Second
+
 // Token is the operator's token in a System.
 const Token = "operator-token"
 
@@ -104,10 +107,15 @@
 	if all, err = s.settings(); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
 	for _, one := range all {
 		if err = s.StartDaemon(one); err != nil {
 			return err
 		}
+		if err = s.waitAnswer(ctx, one.Listen.Operators, "/healthz"); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -316,6 +324,37 @@
 	}
 }
 
+// WaitReady waits until the daemon with the given listener for operators takes
+// new work.
+func (s *System) WaitReady(ctx context.Context, operators string) error {
+	return s.waitAnswer(ctx, operators, "/readyz")
+}
+
+// waitAnswer waits until the daemon answers path with success.
+func (s *System) waitAnswer(ctx context.Context, operators, path string) error {
+	for {
+		var (
+			req  *http.Request
+			resp *http.Response
+			err  error
+		)
+		if req, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operators+path, http.NoBody); err != nil {
+			return err
+		}
+		if resp, err = s.http.Do(req); err == nil {
+			err = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("daemon at %s is not ready: %w", operators, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
 // Hash returns the hash of a key or token as settings hold it.
 func Hash(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -40,6 +40,7 @@
 	tokens  int
 	prefix  strings.Builder
 	pinned  *control.Replica
+	failed  map[slotKey]fleet.Generation
 }
 
 // errCaller marks an error of writing to the caller.
@@ -154,7 +155,7 @@
 func (g *generation) eligible(view *control.View) []control.Replica {
 	now := time.Now()
 	return slices.DeleteFunc(slices.Clone(view.Replicas[g.deployment.Name]), func(r control.Replica) bool {
-		if !now.Before(r.ValidUntil) {
+		if g.failed[keyOf(r)] == r.Generation || !now.Before(r.ValidUntil) {
 			return true
 		}
 		return g.pinned != nil && (r.Model != g.pinned.Model || r.Adapter != g.pinned.Adapter || r.Version != g.pinned.Version)
@@ -198,7 +199,7 @@
 		return err
 	}
 	if ctx.Err() == nil && !errors.As(err, &status) {
-		d.crashed(s)
+		d.crashed(g, s)
 	}
 	return err
 }
@@ -215,7 +216,7 @@
 		)
 		if token, err = stream.Next(); err != nil {
 			if ctx.Err() == nil && errors.Is(err, backend.ErrCut) {
-				d.crashed(s)
+				d.crashed(g, s)
 			}
 			return err
 		}
@@ -239,9 +240,14 @@
 	}
 }
 
-// crashed reports to all daemons that the server of s crashed under the requests
-// that this daemon was running there.
-func (d *Daemon) crashed(s *slot) {
+// crashed keeps g from the replica of s, and reports to all daemons that its
+// server crashed under the requests that this daemon was running there.
+func (d *Daemon) crashed(g *generation, s *slot) {
+	if g.failed == nil {
+		g.failed = make(map[slotKey]fleet.Generation)
+	}
+	g.failed[keyOf(s.replica)] = s.replica.Generation
+	d.tell(control.Broke{Instance: s.replica.Head.Name, BrokeAt: time.Now()})
 	crash := quarantine.Crash{
 		Daemon: d.settings.Daemon, Server: s.replica.Head.Name,
 		Episode:  s.replica.Name + "@" + s.replica.Generation.String(),
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -80,6 +80,7 @@
 	c := routing.Candidate{
 		Name:     replica.Name,
 		Near:     replica.FailureDomain == near,
+		Warming:  !replica.Warm && replica.Directed,
 		InFlight: len(t.inFlight[k]),
 		Reported: replica.Running,
 		Limit: admission.Limit(admission.Server{
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -146,6 +146,13 @@
 	})
 }
 
+// Running returns how many requests the engine is running.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.member.Report.Running
+}
+
 // Watch looks at the members of the engine's replica until ctx ends, as a real
 // engine notices that a member of its group is gone.
 func (e *Engine) Watch(ctx context.Context) error {
--- a/state/fleet/report.go
+++ b/state/fleet/report.go
@@ -29,8 +29,9 @@
 func (a Assignment) Free() bool { return a.Generation.IsZero() }
 
 // A Report is what an engine says of itself when asked. Incarnation changes
-// whenever the engine process restarts. ColdLimit is the number of concurrent
-// requests that the engine bears while it is not warm, and Slots the number that
+// whenever the engine process restarts. Warm of the instance of
+// rank zero speaks for its replica. ColdLimit is the number of concurrent
+// requests that a replica bears while it is not warm, and Slots the number that
 // it bears when it is.
 type Report struct {
 	Instance     string     `cbor:"instance"      json:"instance"`
