--- a/commands.go
+++ b/commands.go
@@ -54,6 +54,7 @@
 		&domainCommand{streams: s},
 		&instanceCommand{streams: s},
 		&loadCommand{streams: s},
+		&measureCommand{streams: s},
 		&publishCommand{streams: s},
 		&rollbackCommand{streams: s},
 		&serveCommand{streams: s},
--- a/entry/server.go
+++ b/entry/server.go
@@ -31,6 +31,7 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
+	cancel   context.CancelFunc
 }
 
 // newServer opens a listener at address.
@@ -50,7 +51,10 @@
 		}
 		listener = tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
 	}
+	// Connections to peers outlive a shutdown, unless their context ends.
+	base, cancel := context.WithCancel(context.Background())
 	srv := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return base },
 		Handler:           ageConnections(handler, s.Limits.ConnectionAge),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
@@ -59,7 +63,7 @@
 			return context.WithValue(ctx, acceptedKey{}, time.Now())
 		},
 	}
-	return &server{name: name, listener: listener, http: srv}, nil
+	return &server{name: name, listener: listener, http: srv, cancel: cancel}, nil
 }
 
 // close ends the server.
@@ -70,6 +74,7 @@
 		// Connections that outlive the timeout are cut.
 		_ = s.http.Close()
 	}
+	s.cancel()
 }
 
 // run serves until the server is closed.
