fix: a heartbeat proves the present only as far as its echo does

Ruled out: the log read (it counts from when it was asked) and the reports (the same). A heartbeat now counts from when this daemon sent the one that it echoes, by its own clock. Cause 2: every event made a new view of all workers; at 2,700 workers that is 28 cores.

--- a/coordination/control/command.go
+++ b/coordination/control/command.go
@@ -38,7 +38,9 @@
 
 // A Heartbeat is what a daemon tells all its peers at each tick. ConfirmedAge is
 // the age of the last confirmation of the sender's view, negative if there never
-// was one. Changes carries the configuration to peers that lag.
+// was one. Sequence counts the sender's heartbeats; Echoes holds, by incarnation,
+// the last one that it heard of each peer, which tells the peer by its own clock
+// how old this heartbeat can be. Configuration is set for peers that lag.
 type Heartbeat struct {
 	Daemon        string               `cbor:"daemon"`
 	Incarnation   string               `cbor:"incarnation"`
@@ -49,6 +51,8 @@
 	Offset        uint64               `cbor:"offset"`
 	ConfirmedAge  time.Duration        `cbor:"confirmed_age"`
 	LogDown       bool                 `cbor:"log_down"`
+	Sequence      uint64               `cbor:"sequence"`
+	Echoes        map[string]uint64    `cbor:"echoes"`
 	Configuration *configuration.State `cbor:"configuration,omitempty"`
 }
 
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -66,6 +66,9 @@
 	sequence   uint64
 	domainTerm map[string]termStart
 	startedAt  time.Time
+	beats      uint64
+	beatAt     map[uint64]time.Time
+	changed    bool
 }
 
 // A termStart is when this daemon first acted under a term.
@@ -91,14 +94,21 @@
 		instances:  make(map[string]*sighting),
 		peers:      make(map[string]*peer),
 		domainTerm: make(map[string]termStart),
+		beatAt:     make(map[uint64]time.Time),
 	}
 }
 
 // Configuration returns the configuration that this daemon has in force.
 func (c *Core) Configuration() configuration.State { return c.config }
 
+// Changed returns whether an event since the last View changed what traffic must
+// know at once, and not only at the next Tick.
+func (c *Core) Changed() bool { return c.changed }
+
 // Step folds event at now and returns what to do.
 func (c *Core) Step(now time.Time, event Event) []Command {
+	offset := c.config.Offset
+	defer func() { c.changed = c.changed || c.config.Offset != offset }()
 	switch e := event.(type) {
 	case LogRead:
 		c.logRead(now, e)
@@ -119,7 +129,7 @@
 	case PeerHeard:
 		c.peerHeard(now, e.Heartbeat)
 	case Leave:
-		c.leaving = true
+		c.leaving, c.changed = true, true
 	case Tick:
 		return c.tick(now)
 	}
@@ -128,6 +138,7 @@
 
 // View returns the snapshot of the control state for traffic.
 func (c *Core) View(now time.Time) *View {
+	c.changed = false
 	mode, until := c.fresh.Until(now, c.bounds.Freshness)
 	v := &View{
 		Configuration: c.config,
@@ -163,7 +174,7 @@
 // broke takes first-hand evidence that an instance failed.
 func (c *Core) broke(e Broke) {
 	if s, ok := c.instances[e.Instance]; ok && e.BrokeAt.After(s.brokeAt) {
-		s.brokeAt = e.BrokeAt
+		s.brokeAt, c.changed = e.BrokeAt, true
 	}
 }
 
@@ -262,25 +273,31 @@
 		delete(s.ordered, e.Order.ID)
 	}
 	if e.Err == nil && e.Result.Report.Instance == e.Order.Instance {
+		c.changed = true
 		s.report, s.reportedAt = e.Result.Report, now
 	}
 }
 
-// peerHeard takes a heartbeat and the configuration that came with it.
+// peerHeard takes a heartbeat and the configuration that came with it. What it
+// proves of the present counts from when this daemon sent the heartbeat that it
+// echoes, since it may have waited in a queue while this daemon was paused.
 func (c *Core) peerHeard(now time.Time, h Heartbeat) {
 	c.peers[h.Daemon] = &peer{heartbeat: h, heardAt: now}
 	if h.Configuration != nil {
 		c.config = c.config.Restore(*h.Configuration)
 		c.fresh.Offset = max(c.fresh.Offset, c.config.Offset)
 	}
-	p := freshness.Peer{HeardAt: now, Offset: h.Offset, LogDown: h.LogDown}
-	if h.ConfirmedAge >= 0 {
-		p.ConfirmedAt = now.Add(-h.ConfirmedAge)
-	}
 	if h.Leaving {
 		delete(c.fresh.Peers, h.Daemon)
 		return
 	}
+	p := c.fresh.Peers[h.Daemon]
+	if sent, ok := c.beatAt[h.Echoes[c.self.Incarnation]]; ok {
+		p = freshness.Peer{HeardAt: sent, Offset: h.Offset, LogDown: h.LogDown}
+		if h.ConfirmedAge >= 0 {
+			p.ConfirmedAt = sent.Add(-h.ConfirmedAge)
+		}
+	}
 	c.fresh.Peers[h.Daemon] = p
 }
 
@@ -302,16 +319,23 @@
 	if !ok || e.AskedAt.Before(s.reportedAt) {
 		return
 	}
+	c.changed = c.changed || s.refused || differs(s.report, e.Report)
 	s.report, s.reportedAt, s.refused = e.Report, e.AskedAt, false
 }
 
 // reportFailed takes the failure of an instance to answer.
 func (c *Core) reportFailed(e ReportFailed) {
 	if s, ok := c.instances[e.Instance]; ok && e.Refused {
+		c.changed = c.changed || !s.refused
 		s.refused = true
 	}
 }
 
+// differs returns whether traffic must know at once that a became b.
+func differs(a, b fleet.Report) bool {
+	return a.Phase != b.Phase || a.Warm != b.Warm || a.Leaving != b.Leaving || a.Assignment.Generation != b.Assignment.Generation
+}
+
 // services returns the plain services by deployment.
 func (c *Core) services() map[string][]fleet.Instance {
 	out := make(map[string][]fleet.Instance)
--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -225,6 +225,17 @@
 		CallerAddress: c.self.CallerAddress, Weight: c.self.Weight,
 		Leaving: c.leaving, Offset: c.config.Offset, ConfirmedAge: -1, LogDown: c.fresh.LogDown,
 	}
+	c.beats++
+	c.beatAt[c.beats] = now
+	for sequence, at := range c.beatAt {
+		if now.Sub(at) > c.bounds.PeerForget {
+			delete(c.beatAt, sequence)
+		}
+	}
+	h.Sequence, h.Echoes = c.beats, make(map[string]uint64, len(c.peers))
+	for _, p := range c.peers {
+		h.Echoes[p.heartbeat.Incarnation] = p.heartbeat.Sequence
+	}
 	if at := c.fresh.ConfirmedSince(); !at.IsZero() {
 		h.ConfirmedAge = now.Sub(at)
 	}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"sync"
 	"time"
@@ -31,13 +32,13 @@
 
 	mu      sync.Mutex
 	table   claim.Table
-	waiting map[string]chan bool
+	waiting map[claim.ID]chan bool
 	ready   bool
 }
 
 // newClaims returns claims that have not yet read the log.
 func newClaims(d *Daemon, table claim.Table) *claims {
-	return &claims{daemon: d, queue: make(chan claim.Record, claimQueue), table: table, waiting: make(map[string]chan bool)}
+	return &claims{daemon: d, queue: make(chan claim.Record, claimQueue), table: table, waiting: make(map[claim.ID]chan bool)}
 }
 
 // abandon gives a claim back whose request was surely not run.
@@ -66,8 +67,8 @@
 // claim claims key and returns the claim once it has been read back as the first
 // of its key, the record that stands before it, or an error if the log did not
 // tell within the claim timeout.
-func (c *claims) claim(ctx context.Context, key string) (own claim.Record, standing *claim.Record, err error) {
-	own = claim.Record{ID: uuid.NewString(), Key: key, Daemon: c.daemon.settings.Daemon, Status: claim.StatusClaimed}
+func (c *claims) claim(ctx context.Context, key claim.Key) (own claim.Record, standing *claim.Record, err error) {
+	own = claim.Record{ID: claim.ID(uuid.New()), Key: key, Daemon: c.daemon.settings.Daemon, Status: claim.StatusClaimed}
 	c.mu.Lock()
 	if !c.ready {
 		c.mu.Unlock()
@@ -139,14 +140,14 @@
 }
 
 // forget stops waiting for a claim.
-func (c *claims) forget(id string) {
+func (c *claims) forget(id claim.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiting, id)
 }
 
 // get returns the record that stands for key.
-func (c *claims) get(key string) (claim.Record, bool) {
+func (c *claims) get(key claim.Key) (claim.Record, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Get(key)
@@ -183,7 +184,7 @@
 		c.daemon.logger.Error().Err(err).Msg("encode claims")
 		return
 	}
-	submission := platform.Submission{ID: batch[0].ID, Data: data}
+	submission := platform.Submission{ID: hex.EncodeToString(batch[0].ID[:]), Data: data}
 	deadline := time.Now().Add(claimRetries)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		if _, err = c.daemon.platform.Append(ctx, streamClaims, submission); err == nil {
--- a/entry/control.go
+++ b/entry/control.go
@@ -43,15 +43,22 @@
 	}
 	now := time.Now()
 	commands := a.core.Step(now, event)
+	if _, tick := event.(control.Tick); tick || a.core.Changed() {
+		a.publish(now)
+	}
+	for _, command := range commands {
+		a.daemon.execute(command)
+	}
+}
+
+// publish makes the control state at now visible to traffic.
+func (a *controlActor) publish(now time.Time) {
 	view := a.core.View(now)
 	a.daemon.monitor.Check(view.Configuration.Offset >= a.offset, invariant.ConfigurationOffset,
 		"configuration went back from offset %d to %d", a.offset, view.Configuration.Offset)
 	a.offset = view.Configuration.Offset
 	a.daemon.view.Store(view)
 	a.daemon.traffic.wake()
-	for _, command := range commands {
-		a.daemon.execute(command)
-	}
 }
 
 // startControl starts the actor that owns the control state.
--- a/entry/services.go
+++ b/entry/services.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -282,7 +281,7 @@
 
 // claimKey returns the key under which s is claimed. It does not show the
 // idempotency key, and differs between organisations and deployments.
-func claimKey(s *serviceCall) string {
+func claimKey(s *serviceCall) claim.Key {
 	sum := sha256.Sum256([]byte(s.call.organisation + "\x00" + s.deployment.Name + "\x00" + s.key))
-	return hex.EncodeToString(sum[:16])
+	return claim.Key(sum[:16])
 }
