--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -79,11 +79,16 @@
 		snapshot = append(snapshot, Point{float64(n), float64(len(data))})
 	}
 	var (
-		beat, record float64
-		err          error
+		beats  []Point
+		record float64
+		err    error
 	)
-	if beat, err = size(heartbeatOf(1)); err != nil {
-		return Run{}, err
+	for _, n := range daemonSizes {
+		var bytes float64
+		if bytes, err = size(echoing(n)); err != nil {
+			return Run{}, err
+		}
+		beats = append(beats, Point{float64(n), bytes})
 	}
 	if record, err = size(claimRecord(1)); err != nil {
 		return Run{}, err
@@ -96,7 +101,7 @@
 		Fit("heartbeat_seconds", "s", "daemon", heartbeat),
 		Fit("core_bytes_by_daemons", "B", "daemon", peers),
 		Fit("snapshot_bytes", "B", "deployment", snapshot),
-		constant("heartbeat_bytes", "B", "heartbeat", beat),
+		Fit("heartbeat_bytes", "B", "daemon", beats),
 		constant("claim_record_bytes", "B", "claim", record),
 	}
 	run.Slopes = append(run.Slopes, claims()...)
@@ -187,6 +192,16 @@
 	}
 }
 
+// echoing returns a heartbeat that echoes n peers.
+func echoing(n int) control.Heartbeat {
+	h := heartbeatOf(1)
+	h.Sequence, h.Echoes = 100_000, make(map[string]uint64, n)
+	for i := range n {
+		h.Echoes[fmt.Sprintf("3f0c1bde-41a5-4f0c-9d5e-%012d", i)] = 100_000
+	}
+	return h
+}
+
 // instanceOf returns the i-th worker.
 func instanceOf(i int) fleet.Instance {
 	group := i / replicaSize
--- a/capacity/rows.go
+++ b/capacity/rows.go
@@ -50,7 +50,6 @@
 	claimRate := s.RequestsPerSecond * s.NonIdempotentShare
 	polls := s.Workers * s.PollsPerSecond
 	watched := s.Workers * s.WatchersPerWorker / s.Daemons * s.PollsPerSecond
-	beat := at("heartbeat_bytes", 1)
 	memory := at("core_bytes_by_workers", s.Workers) + run.Slope("core_bytes_by_daemons").Slope*s.Daemons
 	return []string{
 		row("entry: control state", "memory", "MB", memory/(1<<20), memoryBudget/(1<<20)),
@@ -59,8 +58,8 @@
 			100*polls*(at("view_seconds", s.Workers)+at("report_seconds", s.Workers)), 100*cpuBudget),
 		row("watcher: every worker watched by two daemons, view made at each tick", "share of a core", "%",
 			100*(watched*at("report_seconds", s.Workers)+s.TicksPerSecond*at("view_seconds", s.Workers)), 100*cpuBudget),
-		row("entry: heartbeats, each tells all", "sent", "B/s", s.Daemons*s.TicksPerSecond*beat, bytesBudget),
-		row("relay: heartbeats by gossip to three peers a second", "sent", "B/s", s.GossipFanout*beat, bytesBudget),
+		row("entry: heartbeats, each tells all", "sent", "B/s", s.Daemons*s.TicksPerSecond*at("heartbeat_bytes", s.Daemons), bytesBudget),
+		row("relay: heartbeats by gossip to three peers a second", "sent", "B/s", s.GossipFanout*at("heartbeat_bytes", s.GossipFanout), bytesBudget),
 		row("log reader: claims of all daemons", "received", "B/s", claimRate*2*at("claim_record_bytes", 1), bytesBudget),
 		row("entry: claims of the window", "memory", "MB", at("claim_table_bytes", claimsHeld)/(1<<20), memoryBudget/(1<<20)),
 		row("log writer: leases, one chain a failure domain", "appends", "1/s", s.FailureDomains/s.LeaseRenewalSeconds, appendsBudget),
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -70,7 +70,6 @@
 	member   standin.Member
 	up       bool
 	paused   time.Time
-	ready    time.Time
 	running  int
 	served   int
 	lostAt   time.Time
@@ -89,7 +88,6 @@
 	from     map[control.Stream]uint64
 	inFlight map[string]int
 	offset   uint64
-	held     []func()
 }
 
 // A world is several daemons, a log and engines, on a simulated clock.
@@ -133,7 +131,11 @@
 	return q[i].at.Before(q[j].at)
 }
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Push(x any) {
+	if e, ok := x.(event); ok {
+		*q = append(*q, e)
+	}
+}
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -465,11 +467,10 @@
 }
 
 // publish appends an entry to the log.
-func (w *world) publish(s control.Stream, e control.Entry) uint64 {
+func (w *world) publish(s control.Stream, e control.Entry) {
 	e.Offset = w.log.next[s]
 	w.log.next[s]++
 	w.log.streams[s] = append(w.log.streams[s], record{offset: e.Offset, at: w.now, entry: e})
-	return e.Offset
 }
 
 // read lets d read a stream.
--- a/coordination/outcome/outcome_test.go
+++ b/coordination/outcome/outcome_test.go
@@ -38,7 +38,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			require.Equal(t, tc.idempotent, outcome.Of(tc.evidence, true, tc.status))
 			require.Equal(t, tc.nonIdempotent, outcome.Of(tc.evidence, false, tc.status))
-			require.Equal(t, tc.repeatable, [2]bool{outcome.Repeatable(tc.evidence, true), outcome.Repeatable(tc.evidence, false)})
+			require.Equal(t, tc.repeatable[0], outcome.Repeatable(tc.evidence, true))
+			require.Equal(t, tc.repeatable[1], outcome.Repeatable(tc.evidence, false))
 		})
 	}
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -45,6 +45,19 @@
 	return l.runs[call]
 }
 
+// Repeated returns how many calls ran more than once.
+func (l *Ledger) Repeated() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for call, runs := range l.runs {
+		if call != "" && runs > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // A Service is a stand-in for a plain service on one instance.
 type Service struct {
 	Instance fleet.Instance
@@ -58,6 +71,9 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("GET /standin/repeated", func(w http.ResponseWriter, _ *http.Request) {
+		rest.Reply(w, http.StatusOK, s.Ledger.Repeated())
+	})
 	mux.HandleFunc("GET /standin/runs/{call}", func(w http.ResponseWriter, r *http.Request) {
 		rest.Reply(w, http.StatusOK, s.Ledger.Runs(r.PathValue("call")))
 	})
--- a/state/sheet/sheet_test.go
+++ b/state/sheet/sheet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -87,7 +86,7 @@
 			require.ErrorContains(t, err, tc.want)
 			require.Empty(t, got, "nothing is applied in part")
 			var cell *sheet.CellError
-			require.True(t, errors.As(err, &cell))
+			require.ErrorAs(t, err, &cell)
 			require.Equal(t, "s.csv", cell.Sheet)
 		})
 	}
