--- a/commands.go
+++ b/commands.go
@@ -52,6 +52,7 @@
 		&demoCommand{streams: s},
 		&doctorCommand{streams: s},
 		&domainCommand{streams: s},
+		&experimentCommand{streams: s},
 		&instanceCommand{streams: s},
 		&loadCommand{streams: s},
 		&measureCommand{streams: s},
--- /dev/null
+++ b/experiment/doc.go
@@ -0,0 +1,3 @@
+// Package experiment runs named experiments on whole systems of built-in
+// stand-ins, and returns what they measured.
+package experiment
--- /dev/null
+++ b/experimentcmd.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/experiment"
+)
+
+// An experimentFunc runs one experiment, says on a writer how it goes and returns
+// what it measured.
+type experimentFunc func(context.Context, io.Writer) (any, error)
+
+// experiments are the experiments by name.
+var experiments = map[string]experimentFunc{
+	"crash_request":  erased(experiment.CrashRequest),
+	"domain_absence": erased(experiment.DomainAbsence),
+	"overhead":       erased(experiment.Overhead),
+}
+
+// erased returns f with a result of any type.
+func erased[R any](f func(context.Context, io.Writer) (R, error)) experimentFunc {
+	return func(ctx context.Context, out io.Writer) (any, error) { return f(ctx, out) }
+}
+
+// An experimentCommand runs a named experiment.
+type experimentCommand struct {
+	streams
+	name   string
+	asJSON bool
+}
+
+// Name implements subcommands.Command.
+func (*experimentCommand) Name() string { return "experiment" }
+
+// Synopsis implements subcommands.Command.
+func (*experimentCommand) Synopsis() string { return "run a named experiment on built-in stand-ins" }
+
+// Usage implements subcommands.Command.
+func (*experimentCommand) Usage() string {
+	return fmt.Sprintf("experiment -name NAME [-json]\n\nNAME is one of %v. The result is printed as JSON.\n\n"+
+		"Example:\n  hawthornrock experiment -name crash_request\n\n", slices.Sorted(maps.Keys(experiments)))
+}
+
+// SetFlags implements subcommands.Command.
+func (c *experimentCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.name, "name", "", "experiment to run")
+	f.BoolVar(&c.asJSON, "json", false, "print nothing but the result")
+}
+
+// Execute implements subcommands.Command.
+func (c *experimentCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	run, ok := experiments[c.name]
+	if !ok {
+		return c.fail(exitUsage, fmt.Errorf("-name: %q, expected one of %v", c.name, slices.Sorted(maps.Keys(experiments))))
+	}
+	progress := c.err
+	if c.asJSON {
+		progress = io.Discard
+	}
+	var (
+		result any
+		err    error
+	)
+	if result, err = run(ctx, progress); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	return c.json(result)
+}
