feat: requests reach cold replicas through their director

Cause: only its director may use a cold replica, so where all replicas of a deployment are cold, callers of the other daemons waited 5 s and were refused. Weighed: permits from the director (a message a request, and they outlive their holder) against forwarding the request, which needs no state. A test with three daemons, one cold replica and nine callers: all nine answers whole, at most 2 requests at once at the engine; before, the callers of two of three daemons were refused. Also: a failure domain or instance that returns counts as cold until it has reported anew.

--- a/coordination/control/command.go
+++ b/coordination/control/command.go
@@ -46,6 +46,7 @@
 	Incarnation   string               `cbor:"incarnation"`
 	FailureDomain string               `cbor:"failure_domain"`
 	CallerAddress string               `cbor:"caller_address"`
+	PeerAddress   string               `cbor:"peer_address"`
 	Weight        int                  `cbor:"weight"`
 	Leaving       bool                 `cbor:"leaving"`
 	Offset        uint64               `cbor:"offset"`
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -29,6 +29,7 @@
 	Incarnation   string
 	FailureDomain string
 	CallerAddress string
+	PeerAddress   string
 	Weight        int
 }
 
@@ -107,8 +108,13 @@
 
 // Step folds event at now and returns what to do.
 func (c *Core) Step(now time.Time, event Event) []Command {
-	offset := c.config.Offset
-	defer func() { c.changed = c.changed || c.config.Offset != offset }()
+	before := c.config
+	defer func() {
+		if c.config.Offset != before.Offset {
+			c.changed = true
+			c.returned(now, before)
+		}
+	}()
 	switch e := event.(type) {
 	case LogRead:
 		c.logRead(now, e)
@@ -136,6 +142,20 @@
 	return nil
 }
 
+// returned asks for new reports of the instances that operators have brought back
+// into service since before: what they last reported may be from before they left,
+// and they may have turned cold.
+func (c *Core) returned(now time.Time, before configuration.State) {
+	for _, s := range c.instances {
+		domain, name := s.instance.FailureDomain, s.instance.Name
+		back := before.DomainOut(domain) && !c.config.DomainOut(domain) ||
+			before.InstanceCordoned(name) && !c.config.InstanceCordoned(name)
+		if back && now.After(s.brokeAt) {
+			s.brokeAt = now
+		}
+	}
+}
+
 // View returns the snapshot of the control state for traffic.
 func (c *Core) View(now time.Time) *View {
 	c.changed = false
@@ -410,9 +430,23 @@
 		}
 	}
 	_, r.Directed = c.keeper.Holds(now, r.FailureDomain)
+	r.Director = c.directorAddress(now, r.FailureDomain)
 	return r, Explanation{}
 }
 
+// directorAddress returns the address for peers of the daemon that directs domain,
+// if it is a live peer.
+func (c *Core) directorAddress(now time.Time, domain string) string {
+	holder := c.keeper.Lease(domain).Holder
+	for _, p := range c.peers {
+		h := p.heartbeat
+		if h.Daemon+"#"+h.Incarnation == holder && now.Sub(p.heardAt) < c.bounds.Freshness.PeerTimeout && !h.Leaving {
+			return h.PeerAddress
+		}
+	}
+	return ""
+}
+
 // unfit returns why s keeps the replica of a from serving, and what happens
 // next; empty strings if it does not.
 func (c *Core) unfit(now time.Time, s *sighting, a fleet.Assignment) (why, next string) {
--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -222,7 +222,7 @@
 func (c *Core) heartbeat(now time.Time) Heartbeat {
 	h := Heartbeat{
 		Daemon: c.self.Daemon, Incarnation: c.self.Incarnation, FailureDomain: c.self.FailureDomain,
-		CallerAddress: c.self.CallerAddress, Weight: c.self.Weight,
+		CallerAddress: c.self.CallerAddress, PeerAddress: c.self.PeerAddress, Weight: c.self.Weight,
 		Leaving: c.leaving, Offset: c.config.Offset, ConfirmedAge: -1, LogDown: c.fresh.LogDown,
 	}
 	c.beats++
--- a/coordination/control/view.go
+++ b/coordination/control/view.go
@@ -10,7 +10,8 @@
 
 // A Replica is one complete replica that may be given new work. Directed means
 // that this daemon holds the lease of its failure domain, so that it alone may
-// give it work while it is cold.
+// give it work while it is cold. Director is the address for peers of the daemon
+// that holds it, if that is another one.
 type Replica struct {
 	Name          string           `json:"name"`
 	Deployment    string           `json:"deployment"`
@@ -23,6 +24,7 @@
 	Members       []string         `json:"members"`
 	Warm          bool             `json:"warm"`
 	Directed      bool             `json:"directed"`
+	Director      string           `json:"director"`
 	Slots         int              `json:"slots"`
 	ColdLimit     int              `json:"cold_limit"`
 	Running       int              `json:"running"`
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -12,23 +12,19 @@
 // A Candidate is one replica that may run a request. Near means that it is in the
 // daemon's own failure domain, Warming that it is cold and that this daemon alone
 // may warm it. InFlight counts the
-// requests that this daemon has given it, Reported those that its last report
-// spoke of, and Limit how many this daemon may give it at once.
+// requests that this daemon has given it, and Limit how many it may give it at
+// once. Reports of the work that others gave lag too far to choose by.
 type Candidate struct {
 	Name     string
 	Near     bool
 	Warming  bool
 	InFlight int
-	Reported int
 	Limit    int
 }
 
 // Free returns whether c may be given one more request.
 func (c Candidate) Free() bool { return c.InFlight < c.Limit }
 
-// load returns the work that c is known to have.
-func (c Candidate) load() int { return max(c.InFlight, c.Reported) }
-
 // A Policy chooses the index of a candidate for a request with the given key,
 // -1 if none is free.
 type Policy interface {
@@ -49,8 +45,8 @@
 	return -1
 }
 
-// LeastLoad chooses the free candidate with the least work, a near one first
-// among equals.
+// LeastLoad chooses the free candidate to which this daemon has given the least
+// work, a near one first among equals.
 type LeastLoad struct{}
 
 // Choose implements Policy.
@@ -69,7 +65,7 @@
 		return best
 	}
 	home := rendezvous(key, candidates)
-	if candidates[home].Free() && candidates[home].load() <= candidates[best].load()+p.Slack {
+	if candidates[home].Free() && candidates[home].InFlight <= candidates[best].InFlight+p.Slack {
 		return home
 	}
 	return best
@@ -92,7 +88,7 @@
 
 // compare orders candidates from best to worst.
 func compare(key string, a, b Candidate) int {
-	return cmp.Or(cmp.Compare(a.load(), b.load()), first(a.Warming, b.Warming), first(a.Near, b.Near),
+	return cmp.Or(cmp.Compare(a.InFlight, b.InFlight), first(a.Warming, b.Warming), first(a.Near, b.Near),
 		cmp.Compare(weight(key, a.Name), weight(key, b.Name)))
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -69,7 +69,7 @@
 	d.system = actor.NewActorSystem(quiet)
 	self := control.Self{
 		Daemon: d.settings.Daemon, Incarnation: d.incarnation, FailureDomain: d.settings.FailureDomain,
-		CallerAddress: d.settings.Listen.Callers, Weight: d.settings.Weight,
+		CallerAddress: d.settings.Listen.Callers, PeerAddress: d.settings.Listen.Peers, Weight: d.settings.Weight,
 	}
 	core := control.New(self, d.bounds())
 	d.pid = d.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor {
@@ -92,15 +92,15 @@
 	}
 }
 
-// spawn runs f for a short piece of control work, bounded in time.
-func (d *Daemon) spawn(_ string, f func(context.Context)) {
-	d.serving.Add(1)
-	go func() {
-		defer d.serving.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+// spawn runs f for a short piece of control work, bounded in time. A planned stop
+// waits for it.
+func (d *Daemon) spawn(name string, f func(context.Context)) {
+	d.work.Go(context.Background(), name, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
 		f(ctx)
-	}()
+		return nil
+	})
 }
 
 // append appends the entry of c to the log.
@@ -183,17 +183,15 @@
 			if free(asking[i.Name]) {
 				done := make(chan struct{})
 				asking[i.Name] = done
-				go func() {
+				d.work.Go(ctx, "report", func(ctx context.Context) error {
 					defer close(done)
 					d.ask(ctx, i)
-				}()
+					return nil
+				})
 			}
 		}
 		sleep(ctx, d.settings.Bounds.PollInterval)
 	}
-	for _, done := range asking {
-		<-done
-	}
 	return nil
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,7 @@
 	pid    *actor.PID
 	view   atomic.Pointer[control.View]
 	tasks  task.Group
+	work   task.Group
 
 	traffic *traffic
 	claims  *claims
@@ -166,6 +167,7 @@
 
 // startTasks starts the goroutines that feed the control state.
 func (d *Daemon) startTasks(ctx context.Context) {
+	d.tasks.Go(ctx, "work", d.work.Reap)
 	d.tasks.Go(ctx, "tick", d.runTicks)
 	d.tasks.Go(ctx, "configuration", func(ctx context.Context) error { return d.follow(ctx, control.StreamConfiguration) })
 	d.tasks.Go(ctx, "system", func(ctx context.Context) error { return d.follow(ctx, control.StreamSystem) })
@@ -177,7 +179,7 @@
 		if seed == d.settings.Listen.Peers {
 			continue
 		}
-		sender := link.NewSender[message](d.peerURL(seed), d.settings.Peers.Secret, d.fresh, d.links)
+		sender := link.NewSender[message](d.scheme()+seed+link.Path, d.settings.Peers.Secret, d.fresh, d.links)
 		d.peers.add(seed, sender)
 		d.tasks.Go(ctx, "peer "+seed, sender.Run)
 	}
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -328,6 +328,38 @@
 	}
 }
 
+func TestColdReplicasAreServedThroughTheirDirector(t *testing.T) {
+	plan := demo.DefaultPlan()
+	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 2, 3
+	plan.Engine.WarmAfter = 1000
+	s, err := demo.Start(plan)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, s.Stop())
+		require.Zero(t, s.Violations())
+	})
+	sheet := demo.Sheet(plan.FailureDomains)[:1]
+	sheet[0].Replicas = 1
+	publish(t, s, sheet)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, s.WaitServing(ctx, 1))
+	var group sync.WaitGroup
+	for n := range 9 {
+		group.Go(func() {
+			caller := s.Caller("bakery", uint64(n))
+			caller.Addresses = []string{s.Daemons[n%3].Settings.Listen.Callers}
+			caller.Pinned = true
+			answer := caller.Chat(t.Context(), "decoration", fmt.Sprintf("cold %d", n), 6)
+			requireWhole(t, answer, fmt.Sprintf("cold %d", n), 6)
+		})
+	}
+	group.Wait()
+	counts := s.Engines[0].Counts()
+	require.LessOrEqual(t, counts.MostWhenCold, plan.Engine.ColdLimit)
+	require.Zero(t, counts.OverLimit)
+}
+
 func TestCancelReachesTheOwner(t *testing.T) {
 	s := startSystem(t, nil)
 	warm(t, s)
--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hawthornrock/hawthornrock/coordination/control"
+	"github.com/hawthornrock/hawthornrock/coordination/outcome"
+	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
+	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/link"
+)
+
+// forwardPath is where a daemon takes requests that its peers forward.
+const forwardPath = "/v1/forward"
+
+// A forward asks the director of a cold replica to run the rest of a request. Its
+// replica, while cold, may be given work by the director alone.
+type forward struct {
+	Request      string                 `cbor:"request"`
+	Organisation string                 `cbor:"organisation"`
+	Deployment   string                 `cbor:"deployment"`
+	Prompt       string                 `cbor:"prompt"`
+	Fingerprint  quarantine.Fingerprint `cbor:"fingerprint"`
+	Start        int                    `cbor:"start"`
+	Prefix       string                 `cbor:"prefix"`
+	MaxTokens    int                    `cbor:"max_tokens"`
+	Timeout      time.Duration          `cbor:"timeout"`
+	Model        string                 `cbor:"model"`
+	Adapter      string                 `cbor:"adapter"`
+	Version      string                 `cbor:"version"`
+	Trace        map[string]string      `cbor:"trace"`
+}
+
+// A forwarded is one message of the answer to a forward: a token, the end, or a
+// refusal.
+type forwarded struct {
+	Text    string   `cbor:"text"`
+	Done    bool     `cbor:"done"`
+	Refusal *refusal `cbor:"refusal,omitempty"`
+}
+
+// director returns the replica whose director g is to be forwarded to: where all
+// replicas of its deployment are cold and none is directed here.
+func (g *generation) director(view *control.View) (control.Replica, bool) {
+	if g.forwarded || g.attempt > 0 {
+		return control.Replica{}, false
+	}
+	replicas := g.eligible(view)
+	if slices.ContainsFunc(replicas, func(r control.Replica) bool { return r.Warm || r.Directed }) {
+		return control.Replica{}, false
+	}
+	replicas = slices.DeleteFunc(replicas, func(r control.Replica) bool { return r.Director == "" })
+	if len(replicas) == 0 {
+		return control.Replica{}, false
+	}
+	return replicas[int(uint64(g.fingerprint)%uint64(len(replicas)))], true
+}
+
+// passTo lets the director of r run the rest of g.
+func (d *Daemon) passTo(ctx context.Context, g *generation, r control.Replica) error {
+	ctx, span := d.tracer.Start(ctx, "entry forward", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	f := forward{
+		Request: g.call.request, Organisation: g.call.organisation, Deployment: g.deployment.Name, Prompt: g.prompt,
+		Fingerprint: g.fingerprint, Start: g.tokens, Prefix: g.prefix.String(), MaxTokens: g.maxTokens, Timeout: time.Until(g.deadline),
+		Model: r.Model, Adapter: r.Adapter, Version: r.Version, Trace: make(map[string]string),
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(f.Trace))
+	g.attempt++
+	d.counters.attempts.Add("forward", 1)
+	var (
+		call *link.Call[forwarded]
+		err  error
+	)
+	if call, err = link.Dial[forwarded](ctx, d.fresh, d.scheme()+r.Director+forwardPath, d.settings.Peers.Secret, f); err != nil {
+		return fmt.Errorf("forward to %s: %w", r.Director, err)
+	}
+	defer call.Close()
+	g.pinned = &r
+	for {
+		var m forwarded
+		if m, err = call.Next(); err != nil {
+			return fmt.Errorf("forward to %s: %w", r.Director, err)
+		}
+		switch {
+		case m.Refusal != nil:
+			return m.Refusal
+		case m.Done:
+			return nil
+		}
+		if err = g.token(d, m.Text); err != nil {
+			return err
+		}
+	}
+}
+
+// token takes the next token of the answer and passes it to the caller.
+func (g *generation) token(d *Daemon, text string) error {
+	g.tokens++
+	g.prefix.WriteString(text)
+	d.counters.tokens.Add(1)
+	if err := g.emit(text); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	return nil
+}
+
+// takeForward runs the rest of a request that a peer has forwarded.
+func (d *Daemon) takeForward(ctx context.Context, f forward, send func(forwarded) error) {
+	d.serving.Add(1)
+	defer d.serving.Done()
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(f.Trace))
+	ctx, span := d.tracer.Start(ctx, "entry forwarded", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	g := &generation{
+		call:       call{request: f.Request, organisation: f.Organisation, started: time.Now()},
+		deployment: fleet.Deployment{Name: f.Deployment}, prompt: f.Prompt, maxTokens: f.MaxTokens, fingerprint: f.Fingerprint,
+		deadline: time.Now().Add(f.Timeout), tokens: f.Start, forwarded: true,
+		pinned: &control.Replica{Model: f.Model, Adapter: f.Adapter, Version: f.Version},
+	}
+	g.prefix.WriteString(f.Prefix)
+	g.emit = func(text string) error { return send(forwarded{Text: text}) }
+	end := forwarded{Done: true}
+	if r := d.generate(ctx, g); r != nil {
+		end = forwarded{Refusal: r}
+	}
+	// The peer sees a call that breaks off as one that failed.
+	_ = send(end)
+}
+
+// forwardEnd returns the refusal that a forwarded request ended with, if the
+// director gave it up before it began; the request may then be tried again here.
+func forwardEnd(err error) (*refusal, bool) {
+	var r *refusal
+	if errors.As(err, &r) && r.Outcome != outcome.NotRun {
+		return r, true
+	}
+	return nil, false
+}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -41,6 +40,8 @@
 	prefix  strings.Builder
 	pinned  *control.Replica
 	failed  map[slotKey]fleet.Generation
+	// forwarded is set on requests that a peer has forwarded to this daemon.
+	forwarded bool
 }
 
 // errCaller marks an error of writing to the caller.
@@ -58,6 +59,13 @@
 		if verdict == quarantine.Convicted {
 			return d.refuseCrasher(g, until)
 		}
+		if replica, ok := g.director(d.view.Load()); ok {
+			err := d.passTo(ctx, g, replica)
+			if r, final := forwardEnd(err); err == nil || final {
+				return r
+			}
+			continue
+		}
 		var (
 			s *slot
 			r *refusal
@@ -231,11 +239,8 @@
 		if !s.index.started {
 			d.traffic.start(s)
 		}
-		g.tokens++
-		g.prefix.WriteString(token.Text)
-		d.counters.tokens.Add(1)
-		if err = g.emit(token.Text); err != nil {
-			return fmt.Errorf("%w: %w", errCaller, err)
+		if err = g.token(d, token.Text); err != nil {
+			return err
 		}
 	}
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -74,15 +74,16 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(link.Path, link.Accept(d.settings.Peers.Secret, d.links, d.receive))
+	mux.Handle(forwardPath, link.Answer(d.settings.Peers.Secret, d.takeForward))
 	return mux
 }
 
-// peerURL returns the URL of the peer at address.
-func (d *Daemon) peerURL(address string) string {
+// scheme returns the scheme of URLs of peers.
+func (d *Daemon) scheme() string {
 	if d.settings.TLS.CertificateFile != "" {
-		return "wss://" + address + link.Path
+		return "wss://"
 	}
-	return "ws://" + address + link.Path
+	return "ws://"
 }
 
 // receive takes one message of a peer.
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -82,13 +82,12 @@
 		Near:     replica.FailureDomain == near,
 		Warming:  !replica.Warm && replica.Directed,
 		InFlight: len(t.inFlight[k]),
-		Reported: replica.Running,
 		Limit: admission.Limit(admission.Server{
 			Warm: replica.Warm, Directed: replica.Directed, Slots: replica.Slots, ColdLimit: replica.ColdLimit,
 		}),
 	}
 	if !replica.Warm {
-		c.InFlight = max(c.InFlight, c.Reported)
+		c.InFlight = max(c.InFlight, replica.Running)
 	}
 	if suspect && t.suspects[k] > 0 {
 		c.Limit = 0
--- a/load/caller.go
+++ b/load/caller.go
@@ -37,6 +37,8 @@
 	Addresses []string
 	Key       string
 	HTTP      *http.Client
+	// Pinned keeps the caller to Addresses, without a directory.
+	Pinned bool
 	// Random chooses addresses; it must be set.
 	Random *rand.Rand
 
@@ -140,7 +142,7 @@
 func (c *Caller) choose(ctx context.Context) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Now().After(c.expiry) {
+	if !c.Pinned && time.Now().After(c.expiry) {
 		c.refresh(ctx)
 	}
 	total := 0
