feat: a server that turns cold unannounced is noticed by its first tokens

Two first tokens in a row over three times the median turn it cold here and at all peers for 5 s. Ruled out: one slow answer as evidence (a hiccup would turn a whole fleet cold); the lowest time as the measure (load alone doubles it). Test: an engine turns cold under nine callers and reports warm for 3 s more.

--- /dev/null
+++ b/coordination/admission/detector.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// detectorWindow is the number of first-token times that a Detector keeps.
+	detectorWindow = 32
+	// detectorLeast is the number of them that it needs to judge by.
+	detectorLeast = 8
+	// detectorSlow is the number of slow ones in a row that show a cold server.
+	detectorSlow = 2
+)
+
+// A Detector notices by its first-token times that a warm server has turned cold.
+// Factor is how many times the median counts as slow. The zero Detector with a
+// Factor is ready to use.
+type Detector struct {
+	Factor float64
+
+	recent []time.Duration
+	slow   int
+}
+
+// Observe takes the first-token time of one request and returns whether the
+// server has turned cold.
+func (d *Detector) Observe(first time.Duration) bool {
+	if len(d.recent) >= detectorLeast && float64(first) > d.Factor*float64(d.median()) {
+		d.slow++
+		return d.slow >= detectorSlow
+	}
+	d.slow = 0
+	d.recent = append(d.recent, first)
+	if len(d.recent) > detectorWindow {
+		d.recent = d.recent[1:]
+	}
+	return false
+}
+
+// median returns the median of the times that are kept.
+func (d *Detector) median() time.Duration {
+	sorted := slices.Sorted(slices.Values(d.recent))
+	return sorted[len(sorted)/2]
+}
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -20,6 +20,7 @@
 	ReportAge        time.Duration
 	DeadAfter        time.Duration
 	PeerForget       time.Duration
+	ColdHold         time.Duration
 	SnapshotInterval time.Duration
 }
 
@@ -40,6 +41,7 @@
 	reportedAt time.Time
 	refused    bool
 	brokeAt    time.Time
+	coldUntil  time.Time
 	ordered    map[string]time.Time
 }
 
@@ -130,6 +132,8 @@
 		c.reportFailed(e)
 	case Broke:
 		c.broke(e)
+	case Cooled:
+		c.cooled(now, e)
 	case OrderDone:
 		c.orderDone(now, e)
 	case PeerHeard:
@@ -198,6 +202,14 @@
 	}
 }
 
+// cooled takes first-hand evidence that an instance has turned cold. Its reports,
+// which lag, do not count as warm until the hold has passed.
+func (c *Core) cooled(now time.Time, e Cooled) {
+	if s, ok := c.instances[e.Instance]; ok {
+		s.coldUntil, c.changed = now.Add(c.bounds.ColdHold), true
+	}
+}
+
 // daemons returns how many daemons this one counts as live, itself included.
 func (c *Core) daemons(now time.Time) int {
 	n := 1
@@ -422,7 +434,7 @@
 		until := s.reportedAt.Add(c.bounds.ReportAge)
 		if rank == 0 {
 			r.Head, r.FailureDomain, r.ValidUntil = s.instance, s.instance.FailureDomain, until
-			r.Warm = s.report.Warm
+			r.Warm = s.report.Warm && !now.Before(s.coldUntil)
 			r.Slots, r.ColdLimit, r.Running = s.report.Slots, s.report.ColdLimit, s.report.Running
 		}
 		if until.Before(r.ValidUntil) {
--- a/coordination/control/event.go
+++ b/coordination/control/event.go
@@ -64,6 +64,9 @@
 	BrokeAt  time.Time
 }
 
+// Cooled reports first-hand evidence that an instance has turned cold.
+type Cooled struct{ Instance string }
+
 // OrderDone reports the end of a Send command.
 type OrderDone struct {
 	Order  fleet.Order
@@ -87,6 +90,7 @@
 func (Reported) event()     {}
 func (ReportFailed) event() {}
 func (Broke) event()        {}
+func (Cooled) event()       {}
 func (OrderDone) event()    {}
 func (PeerHeard) event()    {}
 func (Leave) event()        {}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -81,7 +81,7 @@
 	d.monitor = &invariant.Monitor{Report: func(p invariant.Promise, message string) {
 		logger.Error().Str("promise", string(p)).Msg(message)
 	}}
-	d.traffic = newTraffic(policy)
+	d.traffic = newTraffic(policy, s.Bounds.ColdFirstTokenMul)
 	d.claims = newClaims(d)
 	d.crashes = &crashes{register: quarantine.Register{For: s.Bounds.QuarantineFor}}
 	d.view.Store(&control.View{})
@@ -194,6 +194,7 @@
 		ReportAge:        b.ReportAge,
 		DeadAfter:        b.DeadAfter,
 		PeerForget:       b.PeerForget,
+		ColdHold:         b.ColdHold,
 		SnapshotInterval: b.SnapshotInterval,
 	}
 }
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -360,6 +360,52 @@
 	require.Zero(t, counts.OverLimit)
 }
 
+func TestServerTurnedColdUnannounced(t *testing.T) {
+	plan := demo.DefaultPlan()
+	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 4, 3
+	plan.Engine.WarmthLag, plan.Engine.ColdGrace, plan.Engine.WarmAfter = 3*time.Second, 750*time.Millisecond, 20
+	plan.Engine.ColdFactor = 5
+	s, err := demo.Start(plan)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, s.Stop())
+		require.Zero(t, s.Violations())
+	})
+	sheet := demo.Sheet(plan.FailureDomains)[:1]
+	publish(t, s, sheet)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, s.WaitServing(ctx, 2))
+	warm(t, s)
+	var group sync.WaitGroup
+	reports := make([]load.Report, 9)
+	stop := make(chan struct{})
+	for n := range reports {
+		group.Go(func() { background(t, s, n, &reports[n], stop) })
+	}
+	time.Sleep(3 * time.Second)
+	head := runningHead(s)
+	head.Cool()
+	time.Sleep(4 * time.Second)
+	close(stop)
+	group.Wait()
+	require.Zero(t, head.Counts().OverLimit, "%+v", head.Counts())
+	for n := range reports {
+		summary := reports[n].Summary()
+		require.InDelta(t, 1, summary.SuccessRatio, 0, "%+v", summary)
+	}
+}
+
+// runningHead returns an engine that runs requests.
+func runningHead(s *demo.System) *standin.Engine {
+	for _, e := range s.Engines {
+		if e.Running() > 0 {
+			return e
+		}
+	}
+	return s.Engines[0]
+}
+
 func TestCancelReachesTheOwner(t *testing.T) {
 	s := startSystem(t, nil)
 	warm(t, s)
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -186,6 +186,7 @@
 	d.counters.attempts.Add("generate", 1)
 	var (
 		stream backend.Stream
+		asked  = time.Now()
 		err    error
 	)
 	if stream, err = d.engine.Generate(ctx, s.replica.Head.Address, request); err != nil {
@@ -193,7 +194,7 @@
 	}
 	// Cancelling the context of the attempt ends what is left of the stream.
 	defer stream.Close()
-	return d.relay(ctx, g, s, stream)
+	return d.relay(ctx, g, s, stream, asked)
 }
 
 // notBegun takes the error of a stream that did not begin.
@@ -215,8 +216,8 @@
 // declinedPause is the wait after an engine declined a request.
 const declinedPause = 10 * time.Millisecond
 
-// relay passes the tokens of stream to the caller.
-func (d *Daemon) relay(ctx context.Context, g *generation, s *slot, stream backend.Stream) error {
+// relay passes the tokens of stream, which was asked for at asked, to the caller.
+func (d *Daemon) relay(ctx context.Context, g *generation, s *slot, stream backend.Stream, asked time.Time) error {
 	for {
 		var (
 			token backend.Token
@@ -237,7 +238,7 @@
 			g.pinned = &s.replica
 		}
 		if !s.index.started {
-			d.traffic.start(s)
+			d.started(s, time.Since(asked))
 		}
 		if err = g.token(d, token.Text); err != nil {
 			return err
@@ -245,6 +246,18 @@
 	}
 }
 
+// started takes the first-token time of an attempt. A server that it shows to be
+// cold gets no more work than that at once, here and at all peers.
+func (d *Daemon) started(s *slot, first time.Duration) {
+	if !d.traffic.start(s, first) {
+		return
+	}
+	d.counters.events.Add("servers_seen_cold", 1)
+	cooled := control.Cooled{Instance: s.replica.Head.Name}
+	d.tell(cooled)
+	d.peers.broadcast(message{Version: messageVersion, Cooled: &cooled})
+}
+
 // crashed keeps g from the replica of s, and reports to all daemons that its
 // server crashed under the requests that this daemon was running there.
 func (d *Daemon) crashed(g *generation, s *slot) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -21,6 +21,7 @@
 	Crash     *quarantine.Crash  `cbor:"crash,omitempty"`
 	Acquittal *acquittal         `cbor:"acquittal,omitempty"`
 	Cancel    *cancelRequest     `cbor:"cancel,omitempty"`
+	Cooled    *control.Cooled    `cbor:"cooled,omitempty"`
 }
 
 // peers are the links to other daemons, and the instances that are polled. The
@@ -91,6 +92,8 @@
 	switch {
 	case m.Heartbeat != nil && m.Heartbeat.Daemon != d.settings.Daemon:
 		d.tell(control.PeerHeard{Heartbeat: *m.Heartbeat})
+	case m.Cooled != nil:
+		d.tell(*m.Cooled)
 	case m.Crash != nil:
 		d.crashes.add(*m.Crash)
 	case m.Acquittal != nil:
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/admission"
 	"github.com/hawthornrock/hawthornrock/coordination/control"
@@ -36,16 +37,22 @@
 	perOrg   map[string]int
 	all      int
 	changed  chan struct{}
+
+	coldFactor float64
+	detectors  map[slotKey]*admission.Detector
 }
 
-// newTraffic returns a traffic without requests.
-func newTraffic(policy routing.Policy) *traffic {
+// newTraffic returns a traffic without requests. A first token that takes
+// coldFactor times the usual shows that a server is cold.
+func newTraffic(policy routing.Policy, coldFactor float64) *traffic {
 	return &traffic{
-		policy:   policy,
-		inFlight: make(map[slotKey]map[*running]struct{}),
-		suspects: make(map[slotKey]int),
-		perOrg:   make(map[string]int),
-		changed:  make(chan struct{}),
+		policy:     policy,
+		coldFactor: coldFactor,
+		detectors:  make(map[slotKey]*admission.Detector),
+		inFlight:   make(map[slotKey]map[*running]struct{}),
+		suspects:   make(map[slotKey]int),
+		perOrg:     make(map[string]int),
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -153,11 +160,20 @@
 	return all
 }
 
-// start marks that the request of s has answered with a token.
-func (t *traffic) start(s *slot) {
+// start marks that the request of s has answered with its first token after a
+// time, and returns whether that shows that a warm server has turned cold.
+func (t *traffic) start(s *slot, first time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.index.started = true
+	if !s.replica.Warm {
+		return false
+	}
+	k := keyOf(s.replica)
+	if t.detectors[k] == nil {
+		t.detectors[k] = &admission.Detector{Factor: t.coldFactor}
+	}
+	return t.detectors[k].Observe(first)
 }
 
 // count returns how many requests are in flight at the replica of s.
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -121,6 +121,7 @@
 	SnapshotInterval  time.Duration `yaml:"snapshot_interval"`
 	QuarantineFor     time.Duration `yaml:"quarantine_for"`
 	ColdFirstTokenMul float64       `yaml:"cold_first_token_factor"`
+	ColdHold          time.Duration `yaml:"cold_hold"`
 }
 
 // Policy selects the policies of a daemon by name.
@@ -184,6 +185,7 @@
 			SnapshotInterval:  10 * time.Minute,
 			QuarantineFor:     10 * time.Minute,
 			ColdFirstTokenMul: 3,
+			ColdHold:          5 * time.Second,
 		},
 		Policy: Policy{Routing: "least_load", Placement: "repair"},
 		Trace:  Trace{Ratio: 1},
