--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -129,7 +129,7 @@
 func (c *Core) wants(domain string) []placement.Want {
 	var out []placement.Want
 	for _, d := range c.config.Deployments {
-		if quota := d.Quota(domain); d.Kind == fleet.KindEngine && quota > 0 {
+		if quota := d.Quota(domain, c.config.DomainsOut); d.Kind == fleet.KindEngine && quota > 0 {
 			out = append(out, placement.Want{Deployment: d, Replicas: quota})
 		}
 	}
--- a/coordination/control/random_test.go
+++ b/coordination/control/random_test.go
@@ -294,7 +294,7 @@
 					room++
 				}
 			}
-			want += min(deployment.Quota(domain), room/deployment.InstancesPerReplica)
+			want += min(deployment.Quota(domain, nil), room/deployment.InstancesPerReplica)
 		}
 	}
 	for _, d := range w.daemons {
--- a/state/fleet/deployment.go
+++ b/state/fleet/deployment.go
@@ -48,13 +48,19 @@
 }
 
 // Quota returns how many replicas of d belong in failureDomain. Replicas are
-// spread evenly, the remainder going to the domains that are listed first.
-func (d Deployment) Quota(failureDomain string) int {
-	i := slices.Index(d.FailureDomains, failureDomain)
+// spread evenly over the domains that are in service, the remainder going to those
+// that are listed first. A domain that is out keeps what belongs there when all
+// are in, so that it returns with its weights.
+func (d Deployment) Quota(failureDomain string, out []string) int {
+	domains := d.FailureDomains
+	if !slices.Contains(out, failureDomain) {
+		domains = slices.DeleteFunc(slices.Clone(domains), func(name string) bool { return slices.Contains(out, name) })
+	}
+	i := slices.Index(domains, failureDomain)
 	if i < 0 {
 		return 0
 	}
-	n := len(d.FailureDomains)
+	n := len(domains)
 	quota := d.Replicas / n
 	if i < d.Replicas%n {
 		quota++
