feat: replicas are drained, for a rollout under load and for higher priorities

Cause: a replica was only moved to another version, or released, while it ran nothing; under load that never came, so a published version never took effect. Its director now drains it: heartbeats name it, no daemon gives it new work, and when its requests have ended it loads or is released. Rollout goes one replica of a deployment at a time in each failure domain, while the others are ready. Test: a new version under six callers is served by 6 of 6 replicas, with an engine crashing meanwhile; no answer mixes versions and none is short. Before: the old version served on for as long as the load lasted.

--- a/coordination/control/command.go
+++ b/coordination/control/command.go
@@ -40,7 +40,8 @@
 // the age of the last confirmation of the sender's view, negative if there never
 // was one. Sequence counts the sender's heartbeats; Echoes holds, by incarnation,
 // the last one that it heard of each peer, which tells the peer by its own clock
-// how old this heartbeat can be. Configuration is set for peers that lag.
+// how old this heartbeat can be. Configuration is set for peers that lag. Drains names the
+// replicas that the sender directs and that get no new work.
 type Heartbeat struct {
 	Daemon        string               `cbor:"daemon"`
 	Incarnation   string               `cbor:"incarnation"`
@@ -49,6 +50,7 @@
 	PeerAddress   string               `cbor:"peer_address"`
 	Weight        int                  `cbor:"weight"`
 	Leaving       bool                 `cbor:"leaving"`
+	Drains        []string             `cbor:"drains,omitempty"`
 	Offset        uint64               `cbor:"offset"`
 	ConfirmedAge  time.Duration        `cbor:"confirmed_age"`
 	LogDown       bool                 `cbor:"log_down"`
--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -68,6 +68,7 @@
 	peers      map[string]*peer
 	sequence   uint64
 	domainTerm map[string]termStart
+	drains     map[string][]string
 	startedAt  time.Time
 	beats      uint64
 	beatAt     map[uint64]time.Time
@@ -97,6 +98,7 @@
 		instances:  make(map[string]*sighting),
 		peers:      make(map[string]*peer),
 		domainTerm: make(map[string]termStart),
+		drains:     make(map[string][]string),
 		beatAt:     make(map[uint64]time.Time),
 	}
 }
@@ -314,6 +316,9 @@
 // proves of the present counts from when this daemon sent the heartbeat that it
 // echoes, since it may have waited in a queue while this daemon was paused.
 func (c *Core) peerHeard(now time.Time, h Heartbeat) {
+	if known, ok := c.peers[h.Daemon]; len(h.Drains) > 0 || ok && len(known.heartbeat.Drains) > 0 {
+		c.changed = true
+	}
 	c.peers[h.Daemon] = &peer{heartbeat: h, heardAt: now}
 	if h.Configuration != nil {
 		c.config = c.config.Restore(*h.Configuration)
@@ -406,9 +411,12 @@
 			heads[a.Replica] = s
 		}
 	}
+	draining := c.draining(now)
 	for _, id := range slices.Sorted(maps.Keys(heads)) {
 		a := heads[id].report.Assignment
-		if r, why := c.replica(now, a); why.Reason == "" {
+		if draining[id] {
+			v.Explanations = append(v.Explanations, Explanation{id, "is drained by its director", "its instances are used otherwise once its requests have ended"})
+		} else if r, why := c.replica(now, a); why.Reason == "" {
 			v.Replicas[a.Deployment] = append(v.Replicas[a.Deployment], r)
 		} else {
 			v.Explanations = append(v.Explanations, why)
@@ -416,6 +424,25 @@
 	}
 }
 
+// draining returns the replicas that this daemon or a live peer drains.
+func (c *Core) draining(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for _, ids := range c.drains {
+		for _, id := range ids {
+			out[id] = true
+		}
+	}
+	for _, p := range c.peers {
+		if now.Sub(p.heardAt) >= c.bounds.Freshness.PeerTimeout {
+			continue
+		}
+		for _, id := range p.heartbeat.Drains {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // replica returns the replica of assignment a if all its members are complete,
 // current and permitted, or the reason why it does not serve.
 func (c *Core) replica(now time.Time, a fleet.Assignment) (Replica, Explanation) {
--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/placement"
@@ -81,6 +83,7 @@
 func (c *Core) direct(now time.Time, domain string) []Command {
 	term, ok := c.keeper.Holds(now, domain)
 	if !ok || c.leaving {
+		delete(c.drains, domain)
 		return nil
 	}
 	if c.domainTerm[domain].term != term {
@@ -92,6 +95,7 @@
 		return nil
 	}
 	plan := placement.Make(domain, c.wants(domain), candidates)
+	c.drains[domain] = plan.Drains
 	var out []Command
 	for _, m := range plan.Memberships {
 		out = append(out, c.orderJoin(now, domain, term, m)...)
@@ -223,7 +227,7 @@
 	h := Heartbeat{
 		Daemon: c.self.Daemon, Incarnation: c.self.Incarnation, FailureDomain: c.self.FailureDomain,
 		CallerAddress: c.self.CallerAddress, PeerAddress: c.self.PeerAddress, Weight: c.self.Weight,
-		Leaving: c.leaving, Offset: c.config.Offset, ConfirmedAge: -1, LogDown: c.fresh.LogDown,
+		Leaving: c.leaving, Drains: slices.Concat(slices.Collect(maps.Values(c.drains))...), Offset: c.config.Offset, ConfirmedAge: -1, LogDown: c.fresh.LogDown,
 	}
 	c.beats++
 	c.beatAt[c.beats] = now
--- a/coordination/placement/plan.go
+++ b/coordination/placement/plan.go
@@ -36,10 +36,13 @@
 	Generation fleet.Generation
 }
 
-// A Plan is what to order: memberships to give and instances to release.
+// A Plan is what to order: memberships to give, instances to release, and replicas
+// to drain: they get no new work, so that their instances can be used otherwise
+// once their requests have ended.
 type Plan struct {
 	Memberships []Membership
 	Releases    []string
+	Drains      []string
 }
 
 // A group is one replica as its members report it.
@@ -62,13 +65,14 @@
 	candidates map[string]Candidate
 	groups     []*group
 	free       map[string][]string
+	rolling    map[string]bool
 	plan       Plan
 }
 
 // Make returns the plan that brings the replicas in failureDomain closer to
 // wants, highest priority first.
 func Make(failureDomain string, wants []Want, candidates []Candidate) Plan {
-	p := &planner{domain: failureDomain, candidates: make(map[string]Candidate, len(candidates))}
+	p := &planner{domain: failureDomain, candidates: make(map[string]Candidate, len(candidates)), rolling: make(map[string]bool)}
 	for _, c := range candidates {
 		p.candidates[c.Instance.Name] = c
 	}
@@ -83,13 +87,15 @@
 			kept[g.id] = true
 		}
 	}
-	p.releaseExcept(kept)
 	for _, w := range wants {
 		p.repair(w, kept)
 	}
-	for _, w := range wants {
-		p.form(w, kept)
+	for i, w := range wants {
+		if missing := p.form(w, kept); missing > 0 {
+			p.preempt(w, wants[i+1:], kept)
+		}
 	}
+	p.releaseExcept(kept)
 	return p.plan
 }
 
@@ -135,9 +141,29 @@
 	}
 }
 
-// form adds new replicas of w until its count is reached or no fabric domain
-// has room.
-func (p *planner) form(w Want, kept map[string]bool) {
+// preempt gives up one complete replica of a lower priority, the lowest first, in a
+// fabric domain where that makes room for a replica of w.
+func (p *planner) preempt(w Want, lower []Want, kept map[string]bool) {
+	for _, l := range slices.Backward(lower) {
+		if l.Deployment.Priority.Rank() <= w.Deployment.Priority.Rank() {
+			continue
+		}
+		for _, g := range slices.Backward(p.groups) {
+			if !kept[g.id] || g.deployment != l.Deployment.Name || len(g.survivors) == 0 {
+				continue
+			}
+			fabric := p.candidates[g.survivors[0]].Instance.FabricDomain
+			if len(p.free[fabric])+len(g.survivors) >= w.Deployment.InstancesPerReplica {
+				delete(kept, g.id)
+				return
+			}
+		}
+	}
+}
+
+// form adds new replicas of w until its count is reached or no fabric domain has
+// room, and returns how many are missing then.
+func (p *planner) form(w Want, kept map[string]bool) int {
 	have := 0
 	for _, g := range p.groups {
 		if kept[g.id] && g.deployment == w.Deployment.Name {
@@ -147,7 +173,7 @@
 	for ; have < w.Replicas; have++ {
 		fabric, ok := p.room(w.Deployment.InstancesPerReplica)
 		if !ok {
-			return
+			return w.Replicas - have
 		}
 		id := p.newID(w.Deployment.Name, kept)
 		kept[id] = true
@@ -158,6 +184,7 @@
 			Renew:      true,
 		})
 	}
+	return 0
 }
 
 // join adds c to the group that it reports. The highest generation reported is
@@ -205,6 +232,11 @@
 			p.plan.Releases = append(p.plan.Releases, name)
 		}
 	}
+	for _, g := range p.groups {
+		if !kept[g.id] && g.running > 0 {
+			p.plan.Drains = append(p.plan.Drains, g.id)
+		}
+	}
 }
 
 // repair orders new memberships for the kept groups of w that miss a member, and
@@ -228,9 +260,7 @@
 	m := Membership{Replica: g.id, Deployment: w.Deployment, Members: g.members, Generation: g.generation}
 	if changed(w.Deployment, g.assignment) {
 		m.Renew = true
-		if g.running == 0 {
-			p.plan.Memberships = append(p.plan.Memberships, m)
-		}
+		p.roll(g, m)
 		return
 	}
 	for _, name := range g.members {
@@ -241,6 +271,30 @@
 	}
 }
 
+// roll moves g to other contents, once the other replicas of its deployment are
+// ready: first it is drained, then it loads.
+func (p *planner) roll(g *group, m Membership) {
+	for _, other := range p.groups {
+		if other != g && other.deployment == g.deployment && (!p.ready(other) || p.rolling[g.deployment]) {
+			return
+		}
+	}
+	p.rolling[g.deployment] = true
+	if g.running > 0 {
+		p.plan.Drains = append(p.plan.Drains, g.id)
+		return
+	}
+	p.plan.Memberships = append(p.plan.Memberships, m)
+}
+
+// ready returns whether all members of g have loaded its generation.
+func (p *planner) ready(g *group) bool {
+	return !slices.ContainsFunc(g.members, func(name string) bool {
+		r := p.candidates[name].Report
+		return r.Phase != fleet.PhaseReady || r.Assignment.Generation != g.generation
+	})
+}
+
 // replace gives g a free instance of the same fabric domain for each member that
 // is missing; survivors keep their rank order.
 func (p *planner) replace(w Want, g *group) {
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -406,6 +406,80 @@
 	return s.Engines[0]
 }
 
+func TestRolloutUnderLoadNeverMixesVersions(t *testing.T) {
+	s := startSystem(t, nil)
+	warm(t, s)
+	var (
+		group  sync.WaitGroup
+		mu     sync.Mutex
+		counts = make(map[string]int)
+	)
+	stop := make(chan struct{})
+	for n := range 6 {
+		group.Go(func() {
+			caller := s.Caller("bakery", uint64(n))
+			for i := 0; open(stop); i++ {
+				content := fmt.Sprintf("rollout %d %d", n, i)
+				answer := caller.Chat(t.Context(), "decoration", content, 40)
+				mu.Lock()
+				counts[versionOf(answer, content, 40)]++
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	sheet := demo.Sheet(domains)
+	sheet[0].Version = "2"
+	status, err := s.Status(t.Context(), 0)
+	require.NoError(t, err)
+	change(t, s, configuration.Record{Kind: configuration.KindSheet, Base: status.Revision, Deployments: sheet})
+	require.Eventually(t, func() bool { return replicasOf(t, s, "2") == 6 }, 40*time.Second, 100*time.Millisecond)
+	s.Engines[0].Crash()
+	time.Sleep(time.Second)
+	close(stop)
+	group.Wait()
+	require.Positive(t, counts["1"])
+	require.Positive(t, counts["2"])
+	require.Zero(t, counts["mixed"]+counts["not whole"], "%v", counts)
+}
+
+// versionOf returns which version of the model gave answer.
+func versionOf(answer load.Answer, content string, tokens int) string {
+	if !answer.Whole {
+		return "not whole"
+	}
+	for _, version := range []string{"1", "2"} {
+		if answer.Text == standin.Answer("baker-70b", "", version, load.Prompt(content), tokens) {
+			return version
+		}
+	}
+	return "mixed"
+}
+
+// replicasOf returns how many replicas of decoration serve a version.
+func replicasOf(t *testing.T, s *demo.System, version string) int {
+	t.Helper()
+	status, err := s.Status(t.Context(), 0)
+	require.NoError(t, err)
+	n := 0
+	for _, r := range status.Replicas {
+		if r.Deployment == "decoration" && r.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// open returns whether stop has not closed yet.
+func open(stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return false
+	default:
+		return true
+	}
+}
+
 func TestCancelReachesTheOwner(t *testing.T) {
 	s := startSystem(t, nil)
 	warm(t, s)
