--- a/demo/system.go
+++ b/demo/system.go
@@ -17,6 +17,7 @@
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hawthornrock/hawthornrock/coordination/configuration"
@@ -46,6 +47,7 @@
 	Engine           standin.EngineSettings
 	Adjust           func(*settings.Settings)
 	LogOutput        io.Writer
+	Tracer           trace.Tracer
 }
 
 // A Member is one daemon of a System.
@@ -226,11 +228,15 @@
 		output = io.Discard
 	}
 	logger := &log.Logger{Level: log.ParseLevel(one.Log.Level), Writer: &log.IOWriter{Writer: output}}
+	tracer := s.Plan.Tracer
+	if tracer == nil {
+		tracer = noop.NewTracerProvider().Tracer("")
+	}
 	var (
 		daemon *entry.Daemon
 		err    error
 	)
-	if daemon, err = entry.New(one, logger, noop.NewTracerProvider().Tracer("")); err != nil {
+	if daemon, err = entry.New(one, logger, tracer); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/protocol/backend/engine.go
+++ b/protocol/backend/engine.go
@@ -18,6 +18,8 @@
 	"io"
 	"net/http"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/hawthornrock/hawthornrock/state/fleet"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
@@ -92,6 +94,7 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	// Without GetBody the transport cannot send the request a second time.
 	req.GetBody = nil
 	if resp, err = c.HTTP.Do(req); err != nil {
