feat: TLS between daemons by an authority of their own; the demo counts stranded instances

Cause: peers trusted only the machine's authorities, and no test had TLS. Two daemons now hear each other over TLS in a test. The demo counted replicas that do not serve as stranded accelerators, and calls of services among first-token times.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -258,12 +258,19 @@
 	if status, err = r.system.Status(ctx, 0); err != nil {
 		return err
 	}
-	r.result.StrandedAccelerators = stranded(status)
+	// The lost member is out of service, not stranded.
+	r.result.StrandedAccelerators = len(r.system.Engines) - 1 - serving(status)
 	return nil
 }
 
-// stranded returns how many instances belong to replicas that do not serve.
-func stranded(status operator.Status) int { return len(status.NotServing) }
+// serving returns how many instances belong to replicas that serve.
+func serving(status operator.Status) int {
+	n := 0
+	for _, replica := range status.Replicas {
+		n += len(replica.Members)
+	}
+	return n
+}
 
 // phase runs the load for a phase and keeps what callers got.
 func (r *run) phase(ctx context.Context, name string) {
--- a/demo/system.go
+++ b/demo/system.go
@@ -91,15 +91,10 @@
 
 // start starts the stand-ins and the daemons.
 func (s *System) start(ctx context.Context) error {
-	var (
-		listener net.Listener
-		err      error
-	)
-	if listener, err = listen(); err != nil {
+	var err error
+	if s.LogAddress, err = s.open(ctx, func(string) http.Handler { return s.Log.Handler() }); err != nil {
 		return err
 	}
-	s.LogAddress = listener.Addr().String()
-	s.serve(ctx, listener, s.Log.Handler())
 	for _, domain := range s.Plan.FailureDomains {
 		if err = s.startDomain(ctx, domain); err != nil {
 			return err
@@ -138,19 +133,14 @@
 	i := fleet.Instance{
 		Name: domain + "-service", Kind: fleet.KindService, Backend: "standin", FailureDomain: domain, Deployment: s.Plan.Services,
 	}
-	var (
-		listener net.Listener
-		err      error
-	)
-	if listener, err = listen(); err != nil {
-		return err
-	}
-	i.Address = listener.Addr().String()
-	service := &standin.Service{Instance: i, Ledger: s.Ledger}
-	s.serve(ctx, listener, service.Handler())
-	s.Services = append(s.Services, service)
-	s.Log.Register(i)
-	return nil
+	_, err := s.open(ctx, func(address string) http.Handler {
+		i.Address = address
+		service := &standin.Service{Instance: i, Ledger: s.Ledger}
+		s.Services = append(s.Services, service)
+		s.Log.Register(i)
+		return service.Handler()
+	})
+	return err
 }
 
 // startEngine starts one engine.
@@ -159,20 +149,30 @@
 		Name: fmt.Sprintf("%s-%d", fabric, n), Kind: fleet.KindEngine, Backend: "standin",
 		FailureDomain: domain, FabricDomain: fabric,
 	}
+	_, err := s.open(ctx, func(address string) http.Handler {
+		i.Address = address
+		engine := standin.NewEngine(i, s.Plan.Engine)
+		s.Engines = append(s.Engines, engine)
+		s.Log.Register(i)
+		s.tasks.Go(ctx, i.Name, engine.Watch)
+		return engine.Handler()
+	})
+	return err
+}
+
+// open serves the handler that grow returns for a free address on loopback, until
+// the system stops, and returns the address.
+func (s *System) open(ctx context.Context, grow func(address string) http.Handler) (string, error) {
 	var (
 		listener net.Listener
 		err      error
 	)
 	if listener, err = listen(); err != nil {
-		return err
+		return "", err
 	}
-	i.Address = listener.Addr().String()
-	engine := standin.NewEngine(i, s.Plan.Engine)
-	s.serve(ctx, listener, engine.Handler())
-	s.Engines = append(s.Engines, engine)
-	s.Log.Register(i)
-	s.tasks.Go(ctx, i.Name, engine.Watch)
-	return nil
+	address := listener.Addr().String()
+	s.serve(ctx, listener, grow(address))
+	return address, nil
 }
 
 // serve serves handler on listener until the system stops.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +69,13 @@
 	if policy, ok = routing.New(s.Policy.Routing); !ok {
 		return nil, fmt.Errorf("policy.routing: %q, expected one of %v", s.Policy.Routing, routing.Names())
 	}
+	var (
+		roots *x509.CertPool
+		err   error
+	)
+	if roots, err = rootsOf(s.TLS); err != nil {
+		return nil, err
+	}
 	d := &Daemon{
 		settings:    s,
 		incarnation: uuid.NewString(),
@@ -75,7 +85,7 @@
 		links:       new(link.Counters),
 		platform:    platform.Client{Address: s.Platform.Address, HTTP: newClient(platformTimeout)},
 		engine:      &backend.Client{HTTP: newClient(0)},
-		fresh:       &http.Client{Transport: freshTransport()},
+		fresh:       &http.Client{Transport: freshTransport(roots)},
 		stopped:     make(chan struct{}),
 	}
 	d.monitor = &invariant.Monitor{Report: func(p invariant.Promise, message string) {
@@ -208,6 +218,26 @@
 	return errs
 }
 
+// rootsOf returns the authorities that peers are trusted by, nil for those of the
+// machine.
+func rootsOf(s settings.TLS) (*x509.CertPool, error) {
+	if s.CAFile == "" {
+		return nil, nil //nolint:nilnil // A nil pool stands for the machine's.
+	}
+	var (
+		text []byte
+		err  error
+	)
+	if text, err = os.ReadFile(s.CAFile); err != nil {
+		return nil, fmt.Errorf("read tls.ca_file: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("tls.ca_file %s: no certificate in PEM", s.CAFile)
+	}
+	return roots, nil
+}
+
 // newClient returns an HTTP client that keeps its connections.
 func newClient(timeout time.Duration) *http.Client {
 	transport := &http.Transport{
@@ -220,9 +250,11 @@
 }
 
 // freshTransport returns a transport that uses each connection once, so that it
-// never sends a request a second time.
-func freshTransport() *http.Transport {
+// never sends a request a second time. It trusts roots, or those of the machine if
+// there are none.
+func freshTransport(roots *x509.CertPool) *http.Transport {
 	return &http.Transport{
+		TLSClientConfig:    &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
--- /dev/null
+++ b/entry/tls_test.go
@@ -0,0 +1,97 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hawthornrock/hawthornrock/entry"
+	"github.com/hawthornrock/hawthornrock/standin"
+	"github.com/hawthornrock/hawthornrock/state/settings"
+)
+
+// certificate writes a certificate for loopback that is its own authority, and
+// returns the settings that use it.
+func certificate(t *testing.T) settings.TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	encoded, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	dir := t.TempDir()
+	s := settings.TLS{CertificateFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem")}
+	s.CAFile = s.CertificateFile
+	require.NoError(t, os.WriteFile(s.CertificateFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate}), 0o600))
+	require.NoError(t, os.WriteFile(s.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encoded}), 0o600))
+	return s
+}
+
+func TestTLSOnEveryListener(t *testing.T) {
+	platform := httptest.NewServer(standin.NewLog(0).Handler())
+	defer platform.Close()
+	files := certificate(t)
+	var all []settings.Settings
+	for _, name := range []string{"entry-1", "entry-2"} {
+		one := settings.Default()
+		one.Daemon, one.FailureDomain, one.Peers.Secret, one.TLS = name, "bayangol", "s", files
+		one.Platform.Address = strings.TrimPrefix(platform.URL, "http://")
+		for _, address := range []*string{&one.Listen.Callers, &one.Listen.Operators, &one.Listen.Peers} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			*address = listener.Addr().String()
+			require.NoError(t, listener.Close())
+		}
+		all = append(all, one)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ends := make(chan error, len(all))
+	for i := range all {
+		all[i].Peers.Seeds = []string{all[0].Listen.Peers, all[1].Listen.Peers}
+		daemon, err := entry.New(all[i], &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, noop.NewTracerProvider().Tracer(""))
+		require.NoError(t, err)
+		go func() { ends <- daemon.Run(ctx) }()
+	}
+	roots := x509.NewCertPool()
+	text, err := os.ReadFile(files.CAFile)
+	require.NoError(t, err)
+	require.True(t, roots.AppendCertsFromPEM(text))
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}}
+	require.Eventually(t, func() bool {
+		resp, err := client.Get("https://" + all[0].Listen.Callers + "/v1/entries")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(body), all[1].Listen.Callers)
+	}, 10*time.Second, 50*time.Millisecond, "the daemons hear each other over TLS")
+	client.CloseIdleConnections()
+	cancel()
+	for range all {
+		require.NoError(t, <-ends)
+	}
+}
--- a/load/caller.go
+++ b/load/caller.go
@@ -60,12 +60,14 @@
 }
 
 // An Answer is what a caller got for one request. Whole means that the answer
-// ended as a whole one does; Text is what came of it.
+// ended as a whole one does; Text is what came of it. FirstToken and Gaps are set
+// where the answer was Streamed.
 type Answer struct {
 	Outcome    outcome.Outcome
 	Status     int
 	Text       string
 	Whole      bool
+	Streamed   bool
 	Tries      int
 	FirstToken time.Duration
 	Total      time.Duration
@@ -236,7 +238,7 @@
 
 // readStream reads a stream of chat pieces to its end.
 func readStream(resp *http.Response, sent time.Time) Answer {
-	a := Answer{Status: resp.StatusCode, Outcome: outcome.Failed, Err: errors.New("the stream broke off")}
+	a := Answer{Streamed: true, Status: resp.StatusCode, Outcome: outcome.Failed, Err: errors.New("the stream broke off")}
 	var (
 		text strings.Builder
 		last time.Time
--- a/load/report.go
+++ b/load/report.go
@@ -64,6 +64,9 @@
 		return
 	}
 	r.whole++
+	if !answer.Streamed {
+		return
+	}
 	record(r.firstToken, answer.FirstToken)
 	for _, gap := range answer.Gaps {
 		record(r.gap, gap)
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -45,10 +45,12 @@
 }
 
 // TLS holds the files of the certificate and key for every listener. Without
-// them the listeners speak plain HTTP.
+// them the listeners speak plain HTTP. CAFile holds the certificates of the
+// authorities that peers are trusted by; those of the machine without it.
 type TLS struct {
 	CertificateFile string `yaml:"certificate_file"`
 	KeyFile         string `yaml:"key_file"`
+	CAFile          string `yaml:"ca_file"`
 }
 
 // Platform tells where the platform's log and list of instances are.
