--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -411,6 +411,7 @@
 			heads[a.Replica] = s
 		}
 	}
+	v.Explanations = append(v.Explanations, c.unformed(heads)...)
 	draining := c.draining(now)
 	for _, id := range slices.Sorted(maps.Keys(heads)) {
 		a := heads[id].report.Assignment
@@ -424,6 +425,28 @@
 	}
 }
 
+// unformed explains, for each deployment and failure domain, how many replicas the
+// sheet wants there that no instance reports to belong to.
+func (c *Core) unformed(heads map[string]*sighting) []Explanation {
+	formed := make(map[string]int)
+	for _, s := range heads {
+		formed[s.report.Assignment.Deployment+"\x00"+s.instance.FailureDomain]++
+	}
+	var out []Explanation
+	for _, d := range c.config.Deployments {
+		for _, domain := range d.FailureDomains {
+			missing := d.Quota(domain, c.config.DomainsOut) - formed[d.Name+"\x00"+domain]
+			if d.Kind != fleet.KindEngine || missing <= 0 {
+				continue
+			}
+			why := fmt.Sprintf("%d replicas of %d instances are not formed", missing, d.InstancesPerReplica)
+			next := "the director of " + domain + " forms them when a fabric domain has that many free instances"
+			out = append(out, Explanation{d.Name + "/" + domain, why, next})
+		}
+	}
+	return out
+}
+
 // draining returns the replicas that this daemon or a live peer drains.
 func (c *Core) draining(now time.Time) map[string]bool {
 	out := make(map[string]bool)
