--- a/coordination/control/core_test.go
+++ b/coordination/control/core_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/configuration"
 	"github.com/hawthornrock/hawthornrock/coordination/control"
+	"github.com/hawthornrock/hawthornrock/coordination/freshness"
 	"github.com/hawthornrock/hawthornrock/state/fleet"
 )
 
@@ -132,3 +133,24 @@
 	require.Equal(t, "model/domain-0", view.Explanations[0].Replica)
 	require.Contains(t, view.Explanations[0].Reason, "1 replicas of 2 instances are not formed")
 }
+
+func TestHeartbeatProvesNoMoreThanItsEcho(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		echo uint64
+		late time.Duration
+		want freshness.Mode
+	}{
+		{"answers_the_last_one", 1, 100 * time.Millisecond, freshness.ModeFresh},
+		{"waited_while_this_daemon_was_paused", 1, 10 * time.Second, freshness.ModeIsolated},
+		{"echoes_nothing", 0, 100 * time.Millisecond, freshness.ModeIsolated},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			core := control.New(control.Self{Daemon: "entry-1", Incarnation: "1", FailureDomain: "domain-0"}, bounds())
+			core.Step(start, control.Tick{})
+			heard := start.Add(tc.late)
+			core.Step(heard, control.PeerHeard{Heartbeat: control.Heartbeat{Daemon: "entry-2", Echoes: map[string]uint64{"1": tc.echo}}})
+			require.Equal(t, tc.want, core.View(heard).Mode)
+		})
+	}
+}
--- a/coordination/control/random_test.go
+++ b/coordination/control/random_test.go
@@ -98,15 +98,19 @@
 	}
 	switch f.Kind {
 	case "kill_daemon":
+		w.trouble(d, f.For)
 		d.up = false
 		w.after(f.For, func() { w.restart(d) })
 	case "pause_daemon":
+		w.trouble(d, f.For)
 		d.paused = w.now.Add(f.For)
 	case "cut_daemon_log":
+		w.trouble(d, f.For)
 		link(d.name, "log")
 	case "cut_daemons":
 		link(d.name, second.name)
 	case "isolate_daemon":
+		w.trouble(d, f.For)
 		link(d.name, "log")
 		for _, other := range w.daemons {
 			link(d.name, other.name)
@@ -115,6 +119,7 @@
 		inject(w, fault{Kind: "isolate_daemon", Target: f.Target, For: 8 * time.Second})
 		w.after(100*time.Millisecond, func() { inject(w, fault{Kind: "domain_out", Target: f.Second, For: 7 * time.Second}) })
 	case "restart_after_trim":
+		w.trouble(d, 8*time.Second)
 		w.after(8*time.Second, func() { w.trim(); d.up = false; w.restart(d) })
 	case "lose_engine":
 		engine.gone = true
@@ -139,6 +144,7 @@
 		w.after(f.For, func() { w.log.lose = false })
 	case "restart_all":
 		for i, one := range w.daemons {
+			w.trouble(one, f.For)
 			w.after(time.Duration(i)*f.For/time.Duration(len(w.daemons)), func() { one.up = false; w.restart(one) })
 		}
 	default:
