--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -162,29 +161,6 @@
 	}
 }
 
-// View returns the snapshot of the control state for traffic.
-func (c *Core) View(now time.Time) *View {
-	c.changed = false
-	mode, until := c.fresh.Until(now, c.bounds.Freshness)
-	v := &View{
-		Configuration: c.config,
-		Mode:          mode,
-		FreshUntil:    until,
-		Leaving:       c.leaving,
-		Daemons:       c.daemons(now),
-		Replicas:      make(map[string][]Replica),
-		Services:      c.services(),
-		Entries:       c.entries(now),
-		Peers:         c.peerViews(now),
-	}
-	for _, domain := range c.domainsByName() {
-		l := c.keeper.Lease(domain)
-		v.Leases = append(v.Leases, LeaseView{FailureDomain: domain, Holder: l.Holder, Term: l.Term})
-	}
-	c.viewReplicas(now, v)
-	return v
-}
-
 // appendDone forgets a lease claim whose append surely failed.
 func (c *Core) appendDone(e AppendDone) {
 	if e.Err != nil && e.Append.Entry.Lease != nil {
@@ -212,34 +188,6 @@
 	}
 }
 
-// daemons returns how many daemons this one counts as live, itself included.
-func (c *Core) daemons(now time.Time) int {
-	n := 1
-	for _, p := range c.peers {
-		if now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
-// entries returns the entry instances that callers may use.
-func (c *Core) entries(now time.Time) []EntryAddress {
-	var out []EntryAddress
-	if !c.leaving {
-		out = append(out, EntryAddress{c.self.Daemon, c.self.CallerAddress, c.self.FailureDomain, c.self.Weight})
-	}
-	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
-		p := c.peers[name]
-		if p.heartbeat.Leaving || now.Sub(p.heardAt) >= c.bounds.Freshness.PeerTimeout {
-			continue
-		}
-		h := p.heartbeat
-		out = append(out, EntryAddress{h.Daemon, h.CallerAddress, h.FailureDomain, h.Weight})
-	}
-	return out
-}
-
 // listed takes the platform's list as a hint: it adds instances and addresses
 // and marks those leaving, and removes only instances that are silent as well.
 func (c *Core) listed(e Listed) {
@@ -338,18 +286,6 @@
 	c.fresh.Peers[h.Daemon] = p
 }
 
-// peerViews returns this daemon and the live ones that it knows.
-func (c *Core) peerViews(now time.Time) []PeerView {
-	out := []PeerView{{Daemon: c.self.Daemon, Offset: c.config.Offset, LogDown: c.fresh.LogDown, Leaving: c.leaving}}
-	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
-		p := c.peers[name]
-		if now.Sub(p.heardAt) < c.bounds.PeerForget && !p.heartbeat.Leaving {
-			out = append(out, PeerView{Daemon: name, Offset: p.heartbeat.Offset, LogDown: p.heartbeat.LogDown})
-		}
-	}
-	return out
-}
-
 // reported takes an engine's report, unless a later one is known.
 func (c *Core) reported(e Reported) {
 	s, ok := c.instances[e.Report.Instance]
@@ -373,20 +309,6 @@
 	return a.Phase != b.Phase || a.Warm != b.Warm || a.Leaving != b.Leaving || a.Assignment.Generation != b.Assignment.Generation
 }
 
-// services returns the plain services by deployment.
-func (c *Core) services() map[string][]fleet.Instance {
-	out := make(map[string][]fleet.Instance)
-	for _, name := range slices.Sorted(maps.Keys(c.instances)) {
-		s := c.instances[name]
-		i := s.instance
-		if i.Kind != fleet.KindService || i.Leaving || c.barred(i) {
-			continue
-		}
-		out[i.Deployment] = append(out[i.Deployment], i)
-	}
-	return out
-}
-
 // barred returns whether operators have decided that i gets no new work.
 func (c *Core) barred(i fleet.Instance) bool {
 	return c.config.DomainOut(i.FailureDomain) || c.config.InstanceCordoned(i.Name)
@@ -397,138 +319,6 @@
 	return s.reportedAt.After(s.brokeAt) && !s.refused && now.Sub(s.reportedAt) < c.bounds.ReportAge
 }
 
-// viewReplicas adds to v the complete replicas, and an explanation for each one
-// that does not serve.
-func (c *Core) viewReplicas(now time.Time, v *View) {
-	heads := make(map[string]*sighting)
-	for _, name := range slices.Sorted(maps.Keys(c.instances)) {
-		s := c.instances[name]
-		a := s.report.Assignment
-		if a.Free() {
-			continue
-		}
-		if h, ok := heads[a.Replica]; !ok || h.report.Assignment.Generation.Less(a.Generation) {
-			heads[a.Replica] = s
-		}
-	}
-	v.Explanations = append(v.Explanations, c.unformed(heads)...)
-	draining := c.draining(now)
-	for _, id := range slices.Sorted(maps.Keys(heads)) {
-		a := heads[id].report.Assignment
-		if draining[id] {
-			v.Explanations = append(v.Explanations, Explanation{id, "is drained by its director", "its instances are used otherwise once its requests have ended"})
-		} else if r, why := c.replica(now, a); why.Reason == "" {
-			v.Replicas[a.Deployment] = append(v.Replicas[a.Deployment], r)
-		} else {
-			v.Explanations = append(v.Explanations, why)
-		}
-	}
-}
-
-// unformed explains, for each deployment and failure domain, how many replicas the
-// sheet wants there that no instance reports to belong to.
-func (c *Core) unformed(heads map[string]*sighting) []Explanation {
-	formed := make(map[string]int)
-	for _, s := range heads {
-		formed[s.report.Assignment.Deployment+"\x00"+s.instance.FailureDomain]++
-	}
-	var out []Explanation
-	for _, d := range c.config.Deployments {
-		for _, domain := range d.FailureDomains {
-			missing := d.Quota(domain, c.config.DomainsOut) - formed[d.Name+"\x00"+domain]
-			if d.Kind != fleet.KindEngine || missing <= 0 {
-				continue
-			}
-			why := fmt.Sprintf("%d replicas of %d instances are not formed", missing, d.InstancesPerReplica)
-			next := "the director of " + domain + " forms them when a fabric domain has that many free instances"
-			out = append(out, Explanation{d.Name + "/" + domain, why, next})
-		}
-	}
-	return out
-}
-
-// draining returns the replicas that this daemon or a live peer drains.
-func (c *Core) draining(now time.Time) map[string]bool {
-	out := make(map[string]bool)
-	for _, ids := range c.drains {
-		for _, id := range ids {
-			out[id] = true
-		}
-	}
-	for _, p := range c.peers {
-		if now.Sub(p.heardAt) >= c.bounds.Freshness.PeerTimeout {
-			continue
-		}
-		for _, id := range p.heartbeat.Drains {
-			out[id] = true
-		}
-	}
-	return out
-}
-
-// replica returns the replica of assignment a if all its members are complete,
-// current and permitted, or the reason why it does not serve.
-func (c *Core) replica(now time.Time, a fleet.Assignment) (Replica, Explanation) {
-	r := Replica{
-		Name: a.Replica, Deployment: a.Deployment, Model: a.Model, Adapter: a.Adapter, Version: a.Version,
-		Generation: a.Generation, Members: a.Members,
-	}
-	for rank, name := range a.Members {
-		s, ok := c.instances[name]
-		if !ok {
-			return r, Explanation{a.Replica, name + " is not listed", "the director replaces it"}
-		}
-		if why, next := c.unfit(now, s, a); why != "" {
-			return r, Explanation{a.Replica, name + " " + why, next}
-		}
-		until := s.reportedAt.Add(c.bounds.ReportAge)
-		if rank == 0 {
-			r.Head, r.FailureDomain, r.ValidUntil = s.instance, s.instance.FailureDomain, until
-			r.Warm = s.report.Warm && !now.Before(s.coldUntil)
-			r.Slots, r.ColdLimit, r.Running = s.report.Slots, s.report.ColdLimit, s.report.Running
-		}
-		if until.Before(r.ValidUntil) {
-			r.ValidUntil = until
-		}
-	}
-	_, r.Directed = c.keeper.Holds(now, r.FailureDomain)
-	r.Director = c.directorAddress(now, r.FailureDomain)
-	return r, Explanation{}
-}
-
-// directorAddress returns the address for peers of the daemon that directs domain,
-// if it is a live peer.
-func (c *Core) directorAddress(now time.Time, domain string) string {
-	holder := c.keeper.Lease(domain).Holder
-	for _, p := range c.peers {
-		h := p.heartbeat
-		if h.Daemon+"#"+h.Incarnation == holder && now.Sub(p.heardAt) < c.bounds.Freshness.PeerTimeout && !h.Leaving {
-			return h.PeerAddress
-		}
-	}
-	return ""
-}
-
-// unfit returns why s keeps the replica of a from serving, and what happens
-// next; empty strings if it does not.
-func (c *Core) unfit(now time.Time, s *sighting, a fleet.Assignment) (why, next string) {
-	switch {
-	case c.config.DomainOut(s.instance.FailureDomain):
-		return "is in failure domain " + s.instance.FailureDomain + ", which is out", "domain in returns it"
-	case c.config.InstanceCordoned(s.instance.Name):
-		return "is cordoned", "the director replaces it"
-	case s.instance.Leaving || s.report.Leaving:
-		return "is leaving", "the director replaces it"
-	case !c.current(now, s):
-		return "does not answer", "the director replaces it when a spare is free"
-	case s.report.Assignment.Generation != a.Generation || s.report.Assignment.Replica != a.Replica:
-		return fmt.Sprintf("has generation %s instead of %s", s.report.Assignment.Generation, a.Generation), "the director orders it to join"
-	case s.report.Phase != fleet.PhaseReady:
-		return "is " + string(s.report.Phase), "it serves when its weights are loaded"
-	}
-	return "", ""
-}
-
 // domainsByName returns the failure domains of all engines, sorted.
 func (c *Core) domainsByName() []string {
 	domains := make(map[string]bool)
--- a/coordination/control/view.go
+++ b/coordination/control/view.go
@@ -69,7 +69,6 @@
 	Mode          freshness.Mode
 	FreshUntil    time.Time
 	Leaving       bool
-	Daemons       int
 	Replicas      map[string][]Replica
 	Services      map[string][]fleet.Instance
 	Entries       []EntryAddress
--- a/coordination/control/world_test.go
+++ b/coordination/control/world_test.go
@@ -49,21 +49,6 @@
 	}
 }
 
-// A record is one record of a world's log.
-type record struct {
-	offset uint64
-	at     time.Time
-	entry  control.Entry
-}
-
-// A worldLog is the log of a world.
-type worldLog struct {
-	streams map[control.Stream][]record
-	next    map[control.Stream]uint64
-	down    bool
-	lose    bool
-}
-
 // A worldEngine is one engine of a world, with what it ran.
 type worldEngine struct {
 	instance fleet.Instance
@@ -126,18 +111,22 @@
 type eventQueue []*event
 
 func (q eventQueue) Len() int { return len(q) }
+
 func (q eventQueue) Less(i, j int) bool {
 	if q[i].at.Equal(q[j].at) {
 		return q[i].order < q[j].order
 	}
 	return q[i].at.Before(q[j].at)
 }
+
 func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
 func (q *eventQueue) Push(x any) {
 	if e, ok := x.(*event); ok {
 		*q = append(*q, e)
 	}
 }
+
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -466,116 +455,3 @@
 			"%s says of %s: %v at %d, another said %v at %d", d.name, v.ID, v.Accepted, v.Offset, known.Accepted, known.Offset)
 	}
 }
-
-// append lets the log take a record, and loses the answer where faults say so.
-func (w *world) append(d *worldDaemon, life int, c control.Append) {
-	var err error
-	if w.log.down || w.cutOff(d.name, "log") {
-		err = fmt.Errorf("the log does not answer")
-	} else {
-		w.publish(c.Stream, c.Entry)
-		if w.log.lose && w.random.IntN(3) == 0 {
-			err = fmt.Errorf("the answer was lost")
-		}
-	}
-	w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, control.AppendDone{Append: c, Err: err}) }) })
-}
-
-// publish appends an entry to the log.
-func (w *world) publish(s control.Stream, e control.Entry) {
-	e.Offset = w.log.next[s]
-	w.log.next[s]++
-	w.log.streams[s] = append(w.log.streams[s], record{offset: e.Offset, at: w.now, entry: e})
-}
-
-// read lets d read a stream.
-func (w *world) read(d *worldDaemon, s control.Stream) {
-	asked, life := w.now, d.life
-	w.after(w.delay(), func() {
-		if w.log.down || w.cutOff(d.name, "log") {
-			w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, control.LogFailed{}) }) })
-			return
-		}
-		read := control.LogRead{Stream: s, AskedAt: asked, Next: w.log.next[s], Horizon: w.log.next[s]}
-		if records := w.log.streams[s]; len(records) > 0 {
-			read.Horizon = records[0].offset
-		}
-		for _, r := range w.log.streams[s] {
-			if r.offset >= d.from[s] {
-				read.Entries = append(read.Entries, r.entry)
-			}
-		}
-		w.after(w.delay(), func() {
-			w.deliver(d, life, func() {
-				// Reads overlap here, so that one may bring records twice or late.
-				d.from[s] = max(d.from[s], read.Next)
-				w.step(d, read)
-			})
-		})
-	})
-}
-
-// list lets d read the list of instances, which shows an engine as leaving late.
-func (w *world) list(d *worldDaemon) {
-	var all []fleet.Instance
-	for _, name := range w.names {
-		all = append(all, w.engines[name].instance)
-	}
-	w.step(d, control.Listed{Instances: all})
-}
-
-// poll lets d ask the engines of a failure domain for their reports.
-func (w *world) poll(d *worldDaemon, domain string) {
-	asked, life := w.now, d.life
-	w.after(w.delay(), func() {
-		var answers []control.Event
-		for _, name := range w.names {
-			if e := w.engines[name]; e.instance.FailureDomain == domain {
-				answers = append(answers, w.answer(d, e, asked))
-			}
-		}
-		w.after(w.delay(), func() {
-			w.deliver(d, life, func() {
-				for _, answer := range answers {
-					w.step(d, answer)
-				}
-			})
-		})
-	})
-}
-
-// answer returns what comes of asking e for its report.
-func (w *world) answer(d *worldDaemon, e *worldEngine, asked time.Time) control.Event {
-	if e.up && !w.now.Before(e.paused) && !w.cutOff(d.name, e.instance.Name) {
-		return control.Reported{Report: e.member.Report, AskedAt: asked}
-	}
-	return control.ReportFailed{Instance: e.instance.Name, Refused: !e.up && !w.cutOff(d.name, e.instance.Name)}
-}
-
-// send sends an order, unless the lease has ended; a pause may fall between.
-func (w *world) send(d *worldDaemon, life int, c control.Send) {
-	if !w.now.Before(c.Until) {
-		return
-	}
-	w.after(w.delay(), func() {
-		done := control.OrderDone{Order: c.Order, Err: fmt.Errorf("no answer")}
-		if !w.cutOff(d.name, c.Order.Instance) {
-			if result, ok := w.obey(c.Order.Instance, c.Order); ok {
-				done.Result, done.Err = result, nil
-			}
-		}
-		if w.random.IntN(10) == 0 {
-			done.Err = fmt.Errorf("the answer was lost")
-		}
-		w.after(w.delay(), func() { w.deliver(d, life, func() { w.step(d, done) }) })
-	})
-}
-
-// heartbeat carries a heartbeat from one daemon to another.
-func (w *world) heartbeat(from, to *worldDaemon, h control.Heartbeat) {
-	if w.cutOff(from.name, to.name) || w.random.IntN(20) == 0 {
-		return
-	}
-	life := to.life
-	w.after(w.delay(), func() { w.deliver(to, life, func() { w.step(to, control.PeerHeard{Heartbeat: h}) }) })
-}
--- a/coordination/freshness/freshness.go
+++ b/coordination/freshness/freshness.go
@@ -71,7 +71,7 @@
 // outage returns until when most daemons are known to be without the log, with
 // no peer known that reads it or is ahead.
 func (s State) outage(now time.Time, b Bounds) (time.Time, bool) {
-	if !s.LogDown || len(s.Peers) == 0 || s.ConfirmedAt.IsZero() && s.ConfirmedSince().IsZero() {
+	if !s.LogDown || len(s.Peers) == 0 || s.ConfirmedSince().IsZero() {
 		return time.Time{}, false
 	}
 	heard := 1
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -79,12 +79,12 @@
 	lease := k.table.Get(scope)
 	if lease.Holder == k.Self {
 		renewAt := k.valid[scope].Add(k.Terms.Guard - k.Terms.Duration/2)
-		return k.claim(now, scope, lease), !now.Before(renewAt)
+		return k.claim(scope, lease), !now.Before(renewAt)
 	}
 	if lease.Last != 0 && now.Before(k.lapse(scope)) {
 		return Claim{}, false
 	}
-	return k.claim(now, scope, lease), true
+	return k.claim(scope, lease), true
 }
 
 // Sent records that claim is about to be appended at now.
@@ -94,7 +94,7 @@
 }
 
 // claim returns the claim that follows lease.
-func (k *Keeper) claim(_ time.Time, scope string, lease Lease) Claim {
+func (k *Keeper) claim(scope string, lease Lease) Claim {
 	k.sequence++
 	return Claim{
 		ID:       fmt.Sprintf("%s/%s/%d", k.Self, scope, k.sequence),
--- a/doctorcmd.go
+++ b/doctorcmd.go
@@ -73,6 +73,13 @@
 // look looks at the platform, the daemon and its peers.
 func (c *doctorCommand) look(ctx context.Context, s settings.Settings) []finding {
 	findings := []finding{{true, "settings", "valid"}, c.lookAtLog(ctx, s), c.lookAtDaemon(ctx)}
+	for _, b := range s.Backends {
+		text := b.Name + " ignores fencing numbers; leases alone keep directors apart"
+		if b.ChecksFencing {
+			text = b.Name + " refuses orders with an old fencing number"
+		}
+		findings = append(findings, finding{true, "back end", text})
+	}
 	for _, seed := range s.Peers.Seeds {
 		findings = append(findings, lookAtPeer(ctx, seed))
 	}
--- /dev/null
+++ b/entry/cold_test.go
@@ -0,0 +1,93 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/demo"
+	"github.com/hawthornrock/hawthornrock/load"
+	"github.com/hawthornrock/hawthornrock/standin"
+)
+
+func TestColdReplicasAreServedThroughTheirDirector(t *testing.T) {
+	plan := demo.DefaultPlan()
+	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 2, 3
+	plan.Engine.WarmAfter = 1000
+	s, err := demo.Start(plan)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, s.Stop())
+		require.Zero(t, s.Violations())
+	})
+	sheet := demo.Sheet(plan.FailureDomains)[:1]
+	sheet[0].Replicas = 1
+	publish(t, s, sheet)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, s.WaitServing(ctx, 1))
+	var group sync.WaitGroup
+	for n := range 9 {
+		group.Go(func() {
+			caller := s.Caller("bakery", uint64(n))
+			caller.Addresses = []string{s.Daemons[n%3].Settings.Listen.Callers}
+			caller.Pinned = true
+			answer := caller.Chat(t.Context(), "decoration", fmt.Sprintf("cold %d", n), 6)
+			requireWhole(t, answer, fmt.Sprintf("cold %d", n), 6)
+		})
+	}
+	group.Wait()
+	counts := s.Engines[0].Counts()
+	require.LessOrEqual(t, counts.MostWhenCold, plan.Engine.ColdLimit)
+	require.Zero(t, counts.OverLimit)
+}
+
+func TestServerTurnedColdUnannounced(t *testing.T) {
+	plan := demo.DefaultPlan()
+	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 4, 3
+	plan.Engine.WarmthLag, plan.Engine.ColdGrace, plan.Engine.WarmAfter = 3*time.Second, 750*time.Millisecond, 20
+	plan.Engine.ColdFactor = 5
+	s, err := demo.Start(plan)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.NoError(t, s.Stop())
+		require.Zero(t, s.Violations())
+	})
+	sheet := demo.Sheet(plan.FailureDomains)[:1]
+	publish(t, s, sheet)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, s.WaitServing(ctx, 2))
+	warm(t, s)
+	var group sync.WaitGroup
+	reports := make([]load.Report, 9)
+	stop := make(chan struct{})
+	for n := range reports {
+		group.Go(func() { background(t, s, n, &reports[n], stop) })
+	}
+	time.Sleep(3 * time.Second)
+	head := runningHead(s)
+	head.Cool()
+	time.Sleep(4 * time.Second)
+	close(stop)
+	group.Wait()
+	require.Zero(t, head.Counts().OverLimit, "%+v", head.Counts())
+	for n := range reports {
+		summary := reports[n].Summary()
+		require.InDelta(t, 1, summary.SuccessRatio, 0, "%+v", summary)
+	}
+}
+
+// runningHead returns an engine that runs requests.
+func runningHead(s *demo.System) *standin.Engine {
+	for _, e := range s.Engines {
+		if e.Running() > 0 {
+			return e
+		}
+	}
+	return s.Engines[0]
+}
--- a/standin/member.go
+++ b/standin/member.go
@@ -7,8 +7,8 @@
 )
 
 // A Member is the part of an engine that obeys orders, without I/O, so that
-// tests of the control state use the same rules as the engine stand-in. Double
-// counts orders of two directors under one fence, which must never happen.
+// tests of the control state use the same rules as the engine stand-in. Stale
+// counts the orders of an earlier term that it took, which must never happen.
 type Member struct {
 	Report        fleet.Report
 	ChecksFencing bool
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -10,7 +10,6 @@
 	"os"
 	"reflect"
 	"regexp"
-	"slices"
 	"strings"
 	"time"
 
@@ -100,7 +99,6 @@
 	RequestTimeout   time.Duration `yaml:"request_timeout"`
 	FirstTokenBudget time.Duration `yaml:"first_token_budget"`
 	Tokens           int           `yaml:"tokens"`
-	RetryBudget      float64       `yaml:"retry_budget"`
 }
 
 // Bounds are the times that the coordination of daemons is judged by. All
@@ -128,8 +126,7 @@
 
 // Policy selects the policies of a daemon by name.
 type Policy struct {
-	Routing   string `yaml:"routing"`
-	Placement string `yaml:"placement"`
+	Routing string `yaml:"routing"`
 }
 
 // Trace tells where spans go: nowhere, to a file of JSON lines or to an OTLP
@@ -167,7 +164,6 @@
 			RequestTimeout:   2 * time.Minute,
 			FirstTokenBudget: 5 * time.Second,
 			Tokens:           4096,
-			RetryBudget:      0.2,
 		},
 		Bounds: Bounds{
 			PollInterval:      250 * time.Millisecond,
@@ -189,7 +185,7 @@
 			ColdFirstTokenMul: 3,
 			ColdHold:          5 * time.Second,
 		},
-		Policy: Policy{Routing: "least_load", Placement: "repair"},
+		Policy: Policy{Routing: "least_load"},
 		Trace:  Trace{Ratio: 1},
 		Log:    Log{Level: "info"},
 	}
@@ -225,13 +221,6 @@
 	return Parse(file, text, os.Getenv)
 }
 
-// ChecksFencing returns whether the backend servers of the given name refuse
-// orders that carry an old fencing number.
-func (s Settings) ChecksFencing(backend string) bool {
-	i := slices.IndexFunc(s.Backends, func(b Backend) bool { return b.Name == backend })
-	return i >= 0 && s.Backends[i].ChecksFencing
-}
-
 // Validate returns an error that names every setting which cannot work.
 func (s Settings) Validate() error {
 	var errs []error
