fix: an innocent request is not convicted by servers that crash together

Tried first: counting crashes within 250 ms as one; not enough, as streams with tokens were suspects too. Now only requests without a token are suspects, crashes within 250 ms are one, and the suspects of all daemons run one after the other in one order. Ruled out: slower gossip of findings; all daemons had both reports within 20 ms.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -52,6 +52,13 @@
 	Convicted
 )
 
+// Apart is the time within which crashes count as one: servers that crash together
+// have a cause of their own. A suspect is not run again before it has passed.
+const Apart = 250 * time.Millisecond
+
+// maxEpisodes bounds the crashes that a Register keeps the suspects of.
+const maxEpisodes = 256
+
 // maxSuspects bounds the fingerprints that a Register keeps.
 const maxSuspects = 4096
 
@@ -60,8 +67,10 @@
 type Register struct {
 	For time.Duration
 
-	strikes map[Fingerprint][]strike
-	order   []Fingerprint
+	strikes  map[Fingerprint][]strike
+	order    []Fingerprint
+	episodes map[string][]Fingerprint
+	recent   []string
 }
 
 // A strike is one crash under a fingerprint.
@@ -75,7 +84,9 @@
 func (r *Register) Add(now time.Time, c Crash) bool {
 	if r.strikes == nil {
 		r.strikes = make(map[Fingerprint][]strike)
+		r.episodes = make(map[string][]Fingerprint)
 	}
+	r.merge(c)
 	news := false
 	under := 0
 	for _, f := range c.Suspects {
@@ -84,7 +95,9 @@
 		}
 	}
 	for _, f := range c.Suspects {
-		known := slices.ContainsFunc(r.strikes[f], func(s strike) bool { return s.episode == c.Episode })
+		known := slices.ContainsFunc(r.strikes[f], func(s strike) bool {
+			return s.episode == c.Episode || now.Sub(s.at) < Apart
+		})
 		if known {
 			continue
 		}
@@ -102,6 +115,17 @@
 	}
 }
 
+// Rank returns the place of f among all suspects of its last crash, of all daemons.
+// Suspects run one after the other in this order, so that a second crash tells
+// them from each other.
+func (r *Register) Rank(f Fingerprint) int {
+	strikes := r.strikes[f]
+	if len(strikes) == 0 {
+		return 0
+	}
+	return max(slices.Index(r.episodes[strikes[len(strikes)-1].episode], f), 0)
+}
+
 // Verdict returns what is known of f at now.
 func (r *Register) Verdict(now time.Time, f Fingerprint) Verdict {
 	recent, alone := 0, false
@@ -129,6 +153,22 @@
 	return s[len(s)-1].at.Add(r.For)
 }
 
+// merge adds the suspects of c to those that other daemons reported of the same
+// crash, and forgets the oldest crashes beyond the bound.
+func (r *Register) merge(c Crash) {
+	known, ok := r.episodes[c.Episode]
+	if !ok {
+		r.recent = append(r.recent, c.Episode)
+	}
+	known = append(known, c.Suspects...)
+	slices.Sort(known)
+	r.episodes[c.Episode] = slices.Compact(known)
+	for len(r.recent) > maxEpisodes {
+		delete(r.episodes, r.recent[0])
+		r.recent = r.recent[1:]
+	}
+}
+
 // add adds a strike and forgets the oldest fingerprints beyond the bound.
 func (r *Register) add(f Fingerprint, s strike) {
 	if _, ok := r.strikes[f]; !ok {
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -32,6 +32,13 @@
 	c.register.Add(time.Now(), crash)
 }
 
+// rank returns the place of f among the suspects of its last crash.
+func (c *crashes) rank(f quarantine.Fingerprint) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.register.Rank(f)
+}
+
 // verdict returns what is known of f, and until when.
 func (c *crashes) verdict(f quarantine.Fingerprint) (quarantine.Verdict, time.Time) {
 	c.mu.Lock()
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -55,6 +55,7 @@
 	d.cancels.add(g.call.request, g.call.organisation, cancel)
 	defer d.cancels.remove(g.call.request)
 	for g.attempt < maxAttempts {
+		d.waitForTurn(ctx, g)
 		verdict, until := d.crashes.verdict(g.fingerprint)
 		if verdict == quarantine.Convicted {
 			return d.refuseCrasher(g, until)
@@ -213,6 +214,26 @@
 	return err
 }
 
+const (
+	// suspectPause is the wait before a request is run again whose server crashed,
+	// so that a crash of its own can be told from one that servers had together.
+	suspectPause = quarantine.Apart + 50*time.Millisecond
+	// suspectTurn is the time that each suspect of a crash has for its first token.
+	suspectTurn = 150 * time.Millisecond
+	// longestTurn bounds the wait for a suspect's turn.
+	longestTurn = 1500 * time.Millisecond
+)
+
+// waitForTurn lets a suspect whose server crashed wait until the suspects of all
+// daemons are known, and then for its turn among them.
+func (d *Daemon) waitForTurn(ctx context.Context, g *generation) {
+	if verdict, _ := d.crashes.verdict(g.fingerprint); verdict == quarantine.Clear || g.attempt == 0 {
+		return
+	}
+	sleep(ctx, suspectPause)
+	sleep(ctx, min(time.Duration(d.crashes.rank(g.fingerprint))*suspectTurn, longestTurn))
+}
+
 // declinedPause is the wait after an engine declined a request.
 const declinedPause = 10 * time.Millisecond
 
@@ -266,12 +287,16 @@
 	}
 	g.failed[keyOf(s.replica)] = s.replica.Generation
 	d.tell(control.Broke{Instance: s.replica.Head.Name, BrokeAt: time.Now()})
+	d.counters.events.Add("server_crashes_seen", 1)
+	suspects := d.traffic.running(s)
+	if len(suspects) == 0 {
+		return
+	}
 	crash := quarantine.Crash{
 		Daemon: d.settings.Daemon, Server: s.replica.Head.Name,
 		Episode:  s.replica.Name + "@" + s.replica.Generation.String(),
-		Suspects: d.traffic.running(s),
+		Suspects: suspects,
 	}
-	d.counters.events.Add("server_crashes_seen", 1)
 	d.crashes.add(crash)
 	d.peers.broadcast(message{Version: messageVersion, Crash: &crash})
 }
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -142,22 +142,18 @@
 	t.signal()
 }
 
-// running returns the fingerprints that were running at the replica of s: those
-// that had not yet answered with a token if there are any, else all.
+// running returns the fingerprints of the requests that the replica of s was
+// running without having answered with a token yet.
 func (t *traffic) running(s *slot) []quarantine.Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all, fresh []quarantine.Fingerprint
+	var out []quarantine.Fingerprint
 	for r := range t.inFlight[keyOf(s.replica)] {
-		all = append(all, r.fingerprint)
 		if !r.started {
-			fresh = append(fresh, r.fingerprint)
+			out = append(out, r.fingerprint)
 		}
 	}
-	if len(fresh) > 0 {
-		return fresh
-	}
-	return all
+	return out
 }
 
 // start marks that the request of s has answered with its first token after a
