fix: the stand-in engine frees a slot before it says that the answer is whole

The director sends its next request on the last event, and the stand-in counted the one before until its handler returned. Ruled out: a second sender (forwarded requests run under the director's own count) and the director's count (its check saw 2).

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -201,8 +201,9 @@
 	return ""
 }
 
-// generate writes the tokens of request as events.
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, request backend.GenerateRequest) {
+// generate writes the tokens of request as events. It calls free when the last
+// token is made, before it says so: the caller may send its next request at once.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, request backend.GenerateRequest, free func()) {
 	e.mu.Lock()
 	cold, crashed := !e.member.Report.Warm, e.crashed
 	overloaded := cold && e.member.Report.Running > e.Settings.ColdLimit && time.Since(e.cooled) > e.Settings.ColdGrace
@@ -223,14 +224,16 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := request.Start; i <= request.MaxTokens; i++ {
 		token := backend.Token{Request: request.Request, Attempt: request.Attempt, Index: i, Done: i == request.MaxTokens}
-		if !token.Done {
+		if token.Done {
+			e.finish()
+			free()
+		} else {
 			token.Text = tokenAt(request.Model, request.Adapter, request.Version, request.Prompt, i)
 		}
 		if e.isBroken() || !e.write(w, token) || !token.Done && !e.pause(r.Context(), crashed, slower(e.Settings.TokenInterval, factor)) {
 			panic(http.ErrAbortHandler)
 		}
 	}
-	e.finish()
 }
 
 // finish counts a whole answer, which warms the engine.
@@ -329,12 +332,13 @@
 		http.Error(w, reason, http.StatusConflict)
 		return
 	}
-	defer func() {
+	free := sync.OnceFunc(func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.member.Report.Running = max(e.member.Report.Running-1, 0)
-	}()
-	e.generate(w, r, request)
+	})
+	defer free()
+	e.generate(w, r, request, free)
 }
 
 // serveOrder answers an order.
