fix: tests take ports that no outgoing connection takes

Its port had been free when it was chosen, from the range of outgoing connections, and was taken by one before the daemon listened. Addresses now come from below that range, apart by process. Conclusion: no bound or wait was changed.

--- a/demo/system.go
+++ b/demo/system.go
@@ -204,7 +204,8 @@
 				one.Organisations = append(one.Organisations, settings.Organisation{Name: o, KeySHA256: []string{Hash(Key(o))}})
 			}
 			for _, address := range []*string{&one.Listen.Callers, &one.Listen.Operators, &one.Listen.Peers} {
-				if err := freePort(address); err != nil {
+				var err error
+				if *address, err = FreeAddress(); err != nil {
 					return nil, err
 				}
 			}
@@ -370,19 +371,6 @@
 // Key returns the API key of organisation in a System.
 func Key(organisation string) string { return "key-of-" + organisation }
 
-// freePort sets address to one on loopback that is free now.
-func freePort(address *string) error {
-	var (
-		listener net.Listener
-		err      error
-	)
-	if listener, err = listen(); err != nil {
-		return err
-	}
-	*address = listener.Addr().String()
-	return listener.Close()
-}
-
 // listen listens on a free port of loopback.
 func listen() (net.Listener, error) {
 	var (
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -203,10 +202,9 @@
 func requireNotFresh(t *testing.T, s *demo.System, one settings.Settings) {
 	t.Helper()
 	for _, address := range []*string{&one.Listen.Callers, &one.Listen.Operators, &one.Listen.Peers} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := demo.FreeAddress()
 		require.NoError(t, err)
-		*address = listener.Addr().String()
-		require.NoError(t, listener.Close())
+		*address = free
 	}
 	require.NoError(t, s.StartDaemon(one))
 	time.Sleep(500 * time.Millisecond)
--- a/entry/tls_test.go
+++ b/entry/tls_test.go
@@ -23,6 +23,7 @@
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/hawthornrock/hawthornrock/demo"
 	"github.com/hawthornrock/hawthornrock/entry"
 	"github.com/hawthornrock/hawthornrock/standin"
 	"github.com/hawthornrock/hawthornrock/state/settings"
@@ -60,10 +61,9 @@
 		one.Daemon, one.FailureDomain, one.Peers.Secret, one.TLS = name, "bayangol", "s", files
 		one.Platform.Address = strings.TrimPrefix(platform.URL, "http://")
 		for _, address := range []*string{&one.Listen.Callers, &one.Listen.Operators, &one.Listen.Peers} {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			free, err := demo.FreeAddress()
 			require.NoError(t, err)
-			*address = listener.Addr().String()
-			require.NoError(t, listener.Close())
+			*address = free
 		}
 		all = append(all, one)
 	}
--- a/processes_test.go
+++ b/processes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -235,10 +234,9 @@
 // freeAddress returns an address on loopback that is free now.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := demo.FreeAddress()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // requireAnswer waits until url answers.
--- a/script_test.go
+++ b/script_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hawthornrock/hawthornrock/demo"
 )
 
 func TestMain(m *testing.M) {
@@ -26,16 +28,13 @@
 		Setup: func(env *testscript.Env) error {
 			for _, name := range []string{"PLATFORM", "CALLERS", "OPERATORS", "PEERS"} {
 				var (
-					listener net.Listener
-					err      error
+					address string
+					err     error
 				)
-				if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-					return err
-				}
-				env.Setenv(name, listener.Addr().String())
-				if err = listener.Close(); err != nil {
+				if address, err = demo.FreeAddress(); err != nil {
 					return err
 				}
+				env.Setenv(name, address)
 			}
 			return nil
 		},
