--- a/commands.go
+++ b/commands.go
@@ -53,6 +53,7 @@
 		&doctorCommand{streams: s},
 		&domainCommand{streams: s},
 		&experimentCommand{streams: s},
+		&gatewayCommand{streams: s},
 		&instanceCommand{streams: s},
 		&loadCommand{streams: s},
 		&measureCommand{streams: s},
--- /dev/null
+++ b/coordination/budget/retries.go
@@ -0,0 +1,44 @@
+package budget
+
+import "time"
+
+// slackPart is the part of the common slack that daemons spend; the rest covers
+// daemons that have just come and are not counted yet.
+const slackPart = 0.7
+
+// Retries decides whether this daemon may send a request to a second server. All
+// daemons together may send Ratio times the requests and Slack more in any Span.
+// The zero Retries with these three set is ready to use.
+type Retries struct {
+	Ratio float64
+	Slack float64
+	Span  time.Duration
+
+	requests Window
+	repeats  Window
+}
+
+// Request counts a request that a caller sent.
+func (r *Retries) Request(now time.Duration) {
+	r.init()
+	r.requests.Add(now, 1)
+}
+
+// Take returns whether one more repeat is within the share of one of daemons
+// daemons, and counts it if so.
+func (r *Retries) Take(now time.Duration, daemons int) bool {
+	r.init()
+	// The current part of the window is not over, so one part more may overlap.
+	if r.repeats.Sum(now)+1 > r.Ratio*r.requests.Sum(now)+slackPart*r.Slack/float64(max(daemons, 1)) {
+		return false
+	}
+	r.repeats.Add(now, 1)
+	return true
+}
+
+// init gives the windows their span. Repeats are kept for one part longer, so that
+// no span of time holds more than was counted.
+func (r *Retries) init() {
+	r.requests.Span = r.Span
+	r.repeats.Span = r.Span + r.Span/slices*2
+}
--- /dev/null
+++ b/coordination/budget/window.go
@@ -0,0 +1,46 @@
+// Package budget bounds what all daemons together may do, by shares that each
+// keeps to without a message to the others.
+package budget
+
+import "time"
+
+// slices is the number of parts that a Window counts its span in.
+const slices = 10
+
+// A Window counts events in a sliding span of time. The zero Window with a Span
+// is ready to use; it is not safe for concurrent use.
+type Window struct {
+	Span time.Duration
+
+	counts [slices]float64
+	last   int64
+}
+
+// Add counts n events at now.
+func (w *Window) Add(now time.Duration, n float64) {
+	w.advance(now)
+	w.counts[w.last%slices] += n
+}
+
+// Sum returns the events of the last span, the current part included.
+func (w *Window) Sum(now time.Duration) float64 {
+	w.advance(now)
+	sum := 0.0
+	for _, n := range w.counts {
+		sum += n
+	}
+	return sum
+}
+
+// advance clears the parts that have left the span.
+func (w *Window) advance(now time.Duration) {
+	at := int64(now / max(w.Span/slices, 1))
+	if at-w.last >= slices {
+		w.counts = [slices]float64{}
+		w.last = at
+	}
+	for w.last < at {
+		w.last++
+		w.counts[w.last%slices] = 0
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/dispatch.go
@@ -0,0 +1,107 @@
+// Package dispatch decides which replica of a model runs a request: the one whose
+// first token is expected first, by the engine's own published figures and the
+// work that the daemons know to be there.
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// Work is what a request asks of an engine, in tokens.
+type Work struct {
+	Model  string
+	Prompt int
+	Answer int
+}
+
+// A Load is the work that a replica has: requests that are writing, and requests
+// that wait for their first token with the tokens of their prompts.
+type Load struct {
+	Writing int
+	Waiting int
+	Tokens  int
+}
+
+// Add returns the sum of l and m.
+func (l Load) Add(m Load) Load {
+	return Load{Writing: l.Writing + m.Writing, Waiting: l.Waiting + m.Waiting, Tokens: l.Tokens + m.Tokens}
+}
+
+// A Candidate is one replica that may run a request. Slowness is how much slower
+// than published it has shown itself, 1 if not. Far means that it is in another
+// failure domain.
+type Candidate struct {
+	Load     Load
+	Slowness float64
+	Far      bool
+}
+
+// usualAnswer stands for the length of answers where a request does not tell, in
+// tokens.
+const usualAnswer = 100
+
+// FirstToken returns how long a request with work takes to its first token at c.
+func FirstToken(e *site.Engine, m site.Model, c Candidate, work Work) time.Duration {
+	factor := m.Pace * max(c.Slowness, 1)
+	tokens := c.Load.Tokens + work.Prompt
+	reading := float64(tokens) / max(e.ReadPerSecond, 1) * float64(time.Second)
+	total := reading
+	if c.Load.Writing > 0 {
+		// Between its steps an engine reads one chunk, so that each chunk waits for
+		// the steps of those that write.
+		chunks := math.Ceil(float64(tokens) / float64(max(e.Chunk, 1)))
+		total += (chunks + 0.5) * float64(pass(e, c.Load.Writing))
+	}
+	if over := c.Load.Writing + c.Load.Waiting + 1 - e.Slots; over > 0 && e.Slots > 0 {
+		total += float64(over) / float64(e.Slots) * float64(duration(e, e.Slots))
+	}
+	return time.Duration(total * factor)
+}
+
+// pass returns the time of the steps that an engine makes between two chunks.
+func pass(e *site.Engine, writing int) time.Duration {
+	return time.Duration(e.Stride) * (e.Step + time.Duration(writing)*e.StepPerRequest)
+}
+
+// duration returns how long an answer of usual length takes beside writing others.
+func duration(e *site.Engine, writing int) time.Duration {
+	answer := e.UsualAnswer
+	if answer == 0 {
+		answer = usualAnswer
+	}
+	return time.Duration(answer) * (e.Step + time.Duration(writing)*e.StepPerRequest)
+}
+
+// farCost is what a replica in another failure domain must be faster by to be
+// chosen: the round trip between two domains and a little for its bytes.
+const farCost = 5 * time.Millisecond
+
+// Choose returns the index of the candidate with the earliest first token and
+// that time, -1 if there is none. pick breaks ties within tie; it returns a number
+// below its argument.
+func Choose(e *site.Engine, m site.Model, candidates []Candidate, work Work, pick func(int) int) (int, time.Duration) {
+	best, least, ties := -1, time.Duration(math.MaxInt64), 0
+	for i, c := range candidates {
+		expected := FirstToken(e, m, c, work)
+		if c.Far {
+			expected += farCost
+		}
+		switch {
+		case best < 0 || expected < least-tie:
+			best, least, ties = i, expected, 1
+		case expected <= least+tie:
+			if ties++; pick(ties) == 0 {
+				best, least = i, expected
+			}
+		}
+	}
+	return best, least
+}
+
+// tie is the difference of expected times below which daemons choose at random,
+// so that they do not all choose the same replica: the accuracy of what is known
+// of the work of others.
+const tie = 4 * time.Millisecond
--- /dev/null
+++ b/coordination/formation/planner.go
@@ -0,0 +1,579 @@
+package formation
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// epochsPerTerm is how many epochs a leader may use up in one term.
+const epochsPerTerm = 1_000_000
+
+// A Fleet is what the leader knows at one moment. Dead holds servers that did not
+// answer the leader although they are listed, Out the failure domains that
+// operators took out of service.
+type Fleet struct {
+	Engine  *site.Engine
+	Servers map[string]site.Server
+	Dead    map[string]bool
+	Out     map[string]bool
+	// Demand is the work that callers ask of each model, in any unit; the shares of
+	// the engine stand in where it is empty.
+	Demand map[string]float64
+	// Traffic means that callers have begun to call.
+	Traffic bool
+	Stall   time.Duration
+	// Ceiling is the number of loads of weights that may begin in Window.
+	Ceiling float64
+	Window  time.Duration
+}
+
+// A Planner decides for one term of one leader. Make one with New. It is not
+// safe for concurrent use.
+type Planner struct {
+	term     int64
+	sequence int64
+	since    time.Duration
+	forming  map[string]*formed
+	heads    map[string]*lostHead
+	sent     map[string]sentOrder
+	loads    []time.Duration
+	loading  map[string]time.Duration
+	last     map[string]string
+}
+
+// A formed replica is one that this planner has ordered.
+type formed struct {
+	model   string
+	epoch   int64
+	members []string
+	at      time.Duration
+	failed  bool
+}
+
+// A lostHead is the head of a replica as it was last reported.
+type lostHead struct {
+	server site.Server
+	lostAt time.Duration
+	lost   bool
+	closed time.Duration
+	absent bool
+	opened time.Duration
+}
+
+// A sentOrder is the last order of one kind to one server.
+type sentOrder struct {
+	at     time.Duration
+	answer Answer
+	known  bool
+}
+
+// A replica is one group of servers as its members report it.
+type replica struct {
+	name    string
+	epoch   int64
+	model   site.Model
+	members map[int]site.Server
+}
+
+// New returns a planner for a term that begins at now. Terms rise for ever.
+func New(term int64, now time.Duration) *Planner {
+	return &Planner{
+		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*lostHead),
+		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), last: make(map[string]string),
+	}
+}
+
+// ModelOf returns the model that a replica of the given name runs.
+func ModelOf(group string) string {
+	model, _, _ := strings.Cut(group, "/")
+	return model
+}
+
+// Answered takes the answer to an order that Step returned.
+func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
+	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, answer: a, known: true}
+	if head, ok := p.heads[o.Group]; ok && head.server.ID == o.Server {
+		head.absent = head.absent || a == Absent
+		if a == Accepted && (o.Action == Preempt || o.Action == Close) {
+			head.closed = now
+		}
+	}
+	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
+		f.failed = true
+	}
+	if a != Accepted && a != Unknown {
+		delete(p.loading, o.Server)
+	}
+}
+
+// Step returns the orders to give at now.
+func (p *Planner) Step(now time.Duration, f Fleet) []Order {
+	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), have: make(map[string]int)}
+	s.collect()
+	s.tend()
+	s.gather()
+	s.form()
+	s.stage()
+	return s.orders
+}
+
+// A step is the working state of one call of Step.
+type step struct {
+	planner  *Planner
+	fleet    Fleet
+	now      time.Duration
+	replicas map[string]*replica
+	busy     map[string]bool
+	idle     map[string][]site.Server
+	have     map[string]int
+	orders   []Order
+}
+
+// usable returns whether s may be a member of a replica that serves.
+func (s *step) usable(server site.Server) bool {
+	return !server.Draining && !s.fleet.Dead[server.ID] && !s.fleet.Out[server.FailureDomain]
+}
+
+// collect puts the servers into their replicas.
+func (s *step) collect() {
+	s.replicas, s.busy = make(map[string]*replica), make(map[string]bool)
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
+		server := s.fleet.Servers[id]
+		m := server.Member
+		if m.State == site.Unassigned {
+			continue
+		}
+		s.planner.last[id] = ModelOf(m.Group)
+		r, ok := s.replicas[m.Group]
+		if !ok {
+			model, _ := s.fleet.Engine.Model(ModelOf(m.Group))
+			r = &replica{name: m.Group, epoch: m.Epoch, model: model, members: make(map[int]site.Server)}
+			s.replicas[m.Group] = r
+		}
+		r.members[m.Rank] = server
+		if m.Rank == 0 {
+			s.remember(m.Group, server)
+		}
+		if m.State >= site.Ready {
+			delete(s.planner.loading, id)
+		}
+	}
+}
+
+// remember keeps what is known of a head.
+func (s *step) remember(group string, server site.Server) {
+	head, ok := s.planner.heads[group]
+	if !ok {
+		head = &lostHead{}
+		s.planner.heads[group] = head
+	}
+	head.server, head.lost = server, false
+}
+
+// tend looks after every replica that exists: it opens complete ones and closes
+// those that miss a member.
+func (s *step) tend() {
+	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
+		r := s.replicas[name]
+		if s.whole(r) {
+			s.tendWhole(r)
+			continue
+		}
+		s.tendBroken(r)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.planner.forming)) {
+		f := s.planner.forming[name]
+		if s.abandoned(f) {
+			f.failed = true
+		}
+		if r, ok := s.replicas[name]; ok && s.whole(r) && !f.failed {
+			continue
+		}
+		s.tendForming(name, f)
+	}
+}
+
+// whole returns whether r has all its members and every one of them is usable.
+func (s *step) whole(r *replica) bool {
+	if r.model.Size == 0 || len(r.members) != r.model.Size {
+		return false
+	}
+	for rank := range r.model.Size {
+		server, ok := r.members[rank]
+		if !ok || !s.usable(server) || server.Member.Epoch != r.epoch {
+			return false
+		}
+	}
+	return r.members[0].Member.State != site.Broken
+}
+
+// tendWhole opens r once all its members are ready.
+func (s *step) tendWhole(r *replica) {
+	s.have[r.model.Name]++
+	ready := true
+	for _, server := range r.members {
+		s.busy[server.ID] = true
+		ready = ready && server.Member.State >= site.Ready
+	}
+	head := r.members[0]
+	if head.Member.State == site.Open {
+		delete(s.planner.forming, r.name)
+	}
+	if !ready || head.Member.State != site.Ready {
+		return
+	}
+	if s.order(Order{Server: head.ID, Address: head.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
+		s.planner.heads[r.name].opened = s.now
+	}
+}
+
+// tendBroken takes r apart. Its members are free once its head cannot serve.
+func (s *step) tendBroken(r *replica) {
+	if f, ok := s.planner.forming[r.name]; ok && !f.failed {
+		// Members are still on their way.
+		return
+	}
+	head, ok := r.members[0]
+	if ok && !s.fleet.Dead[head.ID] {
+		s.closeHead(r, head)
+		return
+	}
+	s.withoutHead(r)
+}
+
+// closeHead keeps the members of r busy until its head has closed.
+func (s *step) closeHead(r *replica, head site.Server) {
+	lost := s.planner.heads[r.name]
+	maybeOpen := lost.opened > 0 && s.now-lost.opened < lateOrder && head.Member.State == site.Ready && lost.closed < lost.opened
+	if head.Member.State != site.Open && head.Member.State != site.Closing && !maybeOpen {
+		return
+	}
+	s.keep(r)
+	action := Preempt
+	if s.leaving(r) {
+		action = Close
+		if !lost.lost {
+			lost.lost, lost.lostAt = true, s.now
+		}
+		if s.now-lost.lostAt > queueTime {
+			action = Preempt
+		}
+	}
+	s.order(Order{Server: head.ID, Address: head.Address, Action: action, Group: r.name, Epoch: r.epoch})
+}
+
+// leaving returns whether all members of r live and some of them are to go.
+func (s *step) leaving(r *replica) bool {
+	if len(r.members) != r.model.Size {
+		return false
+	}
+	for _, server := range r.members {
+		if s.fleet.Dead[server.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// withoutHead keeps the members of r until its head is known not to serve any
+// more: it is gone, has a new life, or has been without its members for longer
+// than it may stand still.
+func (s *step) withoutHead(r *replica) {
+	lost, ok := s.planner.heads[r.name]
+	if !ok {
+		lost = &lostHead{}
+		s.planner.heads[r.name] = lost
+	}
+	if !lost.lost {
+		lost.lost, lost.lostAt = true, s.now
+	}
+	listed, ok := s.fleet.Servers[lost.server.ID]
+	reborn := ok && lost.server.ID != "" && (listed.Born != lost.server.Born || listed.Member.Group != r.name)
+	closed := lost.closed > 0 && s.now-lost.closed > time.Second
+	if lost.absent || reborn || closed || s.now-lost.lostAt > s.fleet.Stall+time.Second && s.left(r) {
+		return
+	}
+	s.keep(r)
+	if lost.server.ID != "" {
+		s.order(Order{Server: lost.server.ID, Address: lost.server.Address, Action: Preempt, Group: r.name, Epoch: r.epoch})
+	}
+	for _, server := range r.members {
+		if s.fleet.Dead[server.ID] || server.ID == lost.server.ID {
+			continue
+		}
+		s.order(Order{Server: server.ID, Address: server.Address, Action: Leave, Group: r.name, Epoch: r.epoch})
+	}
+}
+
+// left returns whether a head of r has been without its members for long enough
+// to be broken. Members that still report r have not left.
+func (s *step) left(r *replica) bool { return s.now-s.planner.heads[r.name].lostAt > 2*s.fleet.Stall }
+
+// keep marks the members of r as not free.
+func (s *step) keep(r *replica) {
+	for _, server := range r.members {
+		s.busy[server.ID] = true
+	}
+}
+
+// abandoned returns whether a replica that is being formed cannot come about.
+func (s *step) abandoned(f *formed) bool {
+	for _, id := range f.members {
+		server, ok := s.fleet.Servers[id]
+		if !ok || !s.usable(server) {
+			return true
+		}
+		if s.now-f.at > joinTimeout && server.Member.Epoch != f.epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// tendForming gives orders to join again that had no answer, and keeps the
+// members of a replica that is still on its way.
+func (s *step) tendForming(name string, f *formed) {
+	if f.failed {
+		delete(s.planner.forming, name)
+		return
+	}
+	s.have[f.model]++
+	for _, id := range f.members {
+		s.busy[id] = true
+		server := s.fleet.Servers[id]
+		if server.Member.Epoch == f.epoch {
+			continue
+		}
+		s.order(Order{
+			Server: id, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: f.model, Members: f.members,
+		})
+	}
+}
+
+// gather lists the servers that are free, by their fabric domain.
+func (s *step) gather() {
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.usable(server) {
+			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
+		}
+	}
+}
+
+// order adds o unless it was given lately, and returns whether it did.
+func (s *step) order(o Order) bool {
+	key := sentKey(o.Server, o.Action, o.Group)
+	if last, ok := s.planner.sent[key]; ok && s.now-last.at < repeatAfter {
+		return false
+	}
+	s.planner.sent[key] = sentOrder{at: s.now}
+	o.Fence = s.planner.term
+	s.orders = append(s.orders, o)
+	return true
+}
+
+// sentKey names the orders of one kind to one server about one replica.
+func sentKey(server string, a Action, group string) string {
+	return fmt.Sprint(server, " ", int(a), " ", group)
+}
+
+// needs returns the models in the order of how short of replicas they are.
+func (s *step) needs() []site.Model {
+	models := slices.Clone(s.fleet.Engine.Models)
+	slices.SortStableFunc(models, func(a, b site.Model) int { return cmp.Compare(s.need(b), s.need(a)) })
+	return models
+}
+
+// need returns how much work there is for one more replica of m.
+func (s *step) need(m site.Model) float64 {
+	demand, ok := s.fleet.Demand[m.Name]
+	if !ok {
+		demand = m.Share / float64(max(m.Size, 1))
+	}
+	return demand / (float64(s.have[m.Name]) + 0.5)
+}
+
+// cost returns the time for server to be ready for m.
+func (s *step) cost(server site.Server, m site.Model) time.Duration {
+	switch {
+	case s.planner.last[server.ID] == m.Name && slices.Contains(server.Models, m.Name):
+		return 0
+	case slices.Contains(server.Staged, m.Name):
+		return m.Warm
+	}
+	return m.Load
+}
+
+// form orders new replicas of free servers: first those that need no load, then
+// those that do, while the ceiling allows it.
+func (s *step) form() {
+	for _, free := range []bool{true, false} {
+		for range len(s.fleet.Servers) {
+			if !s.formOne(free) {
+				break
+			}
+		}
+	}
+}
+
+// formOne orders the replica that is needed most, and returns whether it found
+// one. With loaded set it takes only servers that have the weights.
+func (s *step) formOne(loaded bool) bool {
+	models := s.needs()
+	for i, m := range models {
+		if !loaded && i > 0 && s.need(m) < worthLoading*s.need(models[0]) {
+			return false
+		}
+		if members := s.pick(m, loaded); members != nil {
+			s.join(m, members)
+			return true
+		}
+	}
+	return false
+}
+
+// worthLoading is the part of the greatest need that justifies loading a model
+// that is needed less: below it the servers wait as spares of the other.
+const worthLoading = 0.6
+
+// pick returns free servers of one fabric domain for a replica of m, from the
+// domain with the fewest free ones that suffice.
+func (s *step) pick(m site.Model, loaded bool) []site.Server {
+	var best []site.Server
+	room := 0
+	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
+		free := slices.Clone(s.idle[domain])
+		slices.SortStableFunc(free, func(a, b site.Server) int { return cmp.Compare(s.cost(a, m), s.cost(b, m)) })
+		if m.Size == 0 || len(free) < m.Size {
+			continue
+		}
+		chosen := free[:m.Size]
+		loads := 0
+		for _, server := range chosen {
+			if s.cost(server, m) >= m.Load {
+				loads++
+			}
+		}
+		if loaded && loads > 0 || !s.mayLoad(loads) {
+			continue
+		}
+		if best == nil || len(free) < room {
+			best, room = chosen, len(free)
+		}
+	}
+	return best
+}
+
+// mayLoad returns whether n more loads may begin now.
+func (s *step) mayLoad(n int) bool {
+	if n == 0 {
+		return true
+	}
+	p := s.planner
+	if e := s.fleet.Engine; e.LoadsAtOnce > 0 && len(p.loading) > 0 && len(p.loading)+n > e.LoadsAtOnce {
+		return false
+	}
+	if !s.fleet.Traffic {
+		return true
+	}
+	p.loads = slices.DeleteFunc(p.loads, func(at time.Duration) bool { return s.now-at > s.fleet.Window })
+	ceiling := s.fleet.Ceiling
+	if s.now-p.since < s.fleet.Window {
+		// The leader before may have used up a part of the window.
+		ceiling /= 2
+	}
+	return float64(len(p.loads)+n) <= ceiling
+}
+
+// load counts a load that server begins.
+func (s *step) load(server site.Server) {
+	s.planner.loading[server.ID] = s.now
+	s.planner.loads = append(s.planner.loads, s.now)
+}
+
+// join orders members to form a replica of m.
+func (s *step) join(m site.Model, members []site.Server) {
+	p := s.planner
+	p.sequence++
+	f := &formed{model: m.Name, epoch: p.term*epochsPerTerm + p.sequence, at: s.now}
+	for _, server := range members {
+		f.members = append(f.members, server.ID)
+	}
+	name := fmt.Sprintf("%s/%d/%d", m.Name, p.term, p.sequence)
+	p.forming[name] = f
+	s.have[m.Name]++
+	for _, server := range members {
+		if s.cost(server, m) >= m.Load {
+			s.load(server)
+		}
+		s.order(Order{
+			Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: m.Name, Members: f.members,
+		})
+		s.take(server)
+	}
+}
+
+// take removes server from those that are free.
+func (s *step) take(server site.Server) {
+	s.busy[server.ID] = true
+	s.idle[server.FabricDomain] = slices.DeleteFunc(s.idle[server.FabricDomain], func(o site.Server) bool { return o.ID == server.ID })
+}
+
+// stage lets free servers that hold no weights load those that their fabric
+// domain is likely to need.
+func (s *step) stage() {
+	for id, at := range s.planner.loading {
+		if _, ok := s.fleet.Servers[id]; !ok || s.now-at > 2*longestLoad(s.fleet.Engine) || len(s.fleet.Servers[id].Staged) > 0 && !s.busy[id] {
+			delete(s.planner.loading, id)
+		}
+	}
+	if !s.fleet.Traffic {
+		return
+	}
+	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
+		for _, server := range s.idle[domain] {
+			if len(server.Staged) > 0 || !s.mayLoad(1) {
+				continue
+			}
+			if _, ok := s.planner.loading[server.ID]; ok {
+				continue
+			}
+			m := s.spareFor(domain)
+			s.load(server)
+			s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
+		}
+	}
+}
+
+// spareFor returns the model that most of the free servers of domain hold, or
+// the one that is needed most.
+func (s *step) spareFor(domain string) site.Model {
+	models := s.needs()
+	best, most := models[0], 0
+	for _, m := range models {
+		n := 0
+		for _, server := range s.idle[domain] {
+			if slices.Contains(server.Staged, m.Name) {
+				n++
+			}
+		}
+		if n > most {
+			best, most = m, n
+		}
+	}
+	return best
+}
+
+// longestLoad returns the longest time that a load takes.
+func longestLoad(e *site.Engine) time.Duration {
+	longest := time.Duration(0)
+	for _, m := range e.Models {
+		longest = max(longest, m.Load)
+	}
+	return longest
+}
--- /dev/null
+++ b/gateway/board.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/budget"
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
+)
+
+const (
+	// stallAfter is how long a replica that has work may be without any event to
+	// this daemon before it counts as stalled: several passes of an engine at full
+	// load.
+	stallAfter = 700 * time.Millisecond
+	// eventTimeout is how long one stream may be silent beside others that are not,
+	// below the shortest time after which callers give up.
+	eventTimeout = 1700 * time.Millisecond
+	// suspectFor is how long a stalled or broken replica gets no new work unless it
+	// shows life: the list of servers tells the rest by then.
+	suspectFor = 5 * time.Second
+	// watchInterval is the time between looks at the attempts in flight.
+	watchInterval = 100 * time.Millisecond
+	// crashesKept bounds the crashes that a heartbeat tells of.
+	crashesKept = 8
+	// crashesTold is how long a heartbeat tells of a crash.
+	crashesTold = 10 * time.Second
+	// convictedFor is how long a request that crashes servers is refused.
+	convictedFor = time.Minute
+)
+
+// errStalled is the cause of the end of an attempt whose replica stalled.
+var errStalled = errors.New("replica stalled")
+
+// An attempt is one request on its way at a server.
+type attempt struct {
+	target      string
+	work        dispatch.Work
+	fingerprint quarantine.Fingerprint
+	sentAt      time.Time
+	lastEvent   time.Time
+	started     bool
+	cancel      context.CancelCauseFunc
+}
+
+// A seat is what is known first-hand of one replica or plain server.
+type seat struct {
+	attempts     map[*attempt]struct{}
+	lastEvent    time.Time
+	suspectUntil time.Time
+	cold         budget.Bucket
+}
+
+// A toldCrash is a crash that heartbeats tell of.
+type toldCrash struct {
+	crash quarantine.Crash
+	at    time.Time
+}
+
+// A board counts the requests that this daemon has at each server. The zero board
+// is ready to use.
+type board struct {
+	mu       sync.Mutex
+	seats    map[string]*seat
+	all      int
+	hadWork  bool
+	register quarantine.Register
+	crashes  []toldCrash
+}
+
+// seat returns the seat of target. The caller holds the lock.
+func (b *board) seat(target string) *seat {
+	if b.seats == nil {
+		b.seats = make(map[string]*seat)
+		b.register.For = convictedFor
+	}
+	s, ok := b.seats[target]
+	if !ok {
+		s = &seat{attempts: make(map[*attempt]struct{})}
+		b.seats[target] = s
+	}
+	return s
+}
+
+// load returns the work of this daemon at s. The caller holds the lock.
+func (s *seat) load() dispatch.Load {
+	var l dispatch.Load
+	for a := range s.attempts {
+		if a.started {
+			l.Writing++
+			continue
+		}
+		l.Waiting++
+		l.Tokens += a.work.Prompt
+	}
+	return l
+}
+
+// add counts a.
+func (b *board) add(a *attempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.seat(a.target)
+	if len(s.attempts) == 0 {
+		s.lastEvent = a.sentAt
+	}
+	s.attempts[a] = struct{}{}
+	b.hadWork = true
+}
+
+// remove ends the count of a.
+func (b *board) remove(a *attempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.seat(a.target).attempts, a)
+}
+
+// event notes that a was answered with an event at now, and returns the pause
+// before it.
+func (b *board) event(a *attempt, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pause := now.Sub(a.lastEvent)
+	s := b.seat(a.target)
+	s.lastEvent, a.lastEvent, a.started = now, now, true
+	s.suspectUntil = time.Time{}
+	return pause
+}
+
+// broke keeps new work from the target of a after a connection to it broke, and
+// returns the requests that it was running without having answered.
+func (b *board) broke(a *attempt, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.seat(a.target)
+	s.suspectUntil = now.Add(suspectFor)
+}
+
+// enter counts a request of a caller.
+func (b *board) enter() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all++
+}
+
+// leave ends the count of a request of a caller.
+func (b *board) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.all--
+}
+
+// total returns the requests of callers in flight.
+func (b *board) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.all
+}
+
+// began returns whether this daemon ever gave a server work.
+func (b *board) began() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hadWork
+}
+
+// stalled returns the targets that do not answer.
+func (b *board) stalled() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var out []string
+	for target, s := range b.seats {
+		if now.Before(s.suspectUntil) {
+			out = append(out, target)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// summary returns what heartbeats tell of the board, and forgets seats without
+// work.
+func (b *board) summary() (map[string]dispatch.Load, []string, []quarantine.Crash) {
+	stalled := b.stalled()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads, now := make(map[string]dispatch.Load), time.Now()
+	for target, s := range b.seats {
+		if len(s.attempts) > 0 {
+			loads[target] = s.load()
+		} else if now.Sub(s.lastEvent) > time.Minute && !now.Before(s.suspectUntil) {
+			delete(b.seats, target)
+		}
+	}
+	b.crashes = slices.DeleteFunc(b.crashes, func(c toldCrash) bool { return now.Sub(c.at) > crashesTold })
+	var crashes []quarantine.Crash
+	for _, c := range b.crashes[max(0, len(b.crashes)-crashesKept):] {
+		crashes = append(crashes, c.crash)
+	}
+	return loads, stalled, crashes
+}
+
+// crashed notes that a server crashed under a.
+func (b *board) crashed(daemon, episode string, a *attempt) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	crash := quarantine.Crash{Daemon: daemon, Server: a.target, Episode: episode}
+	for other := range b.seat(a.target).attempts {
+		if !other.started {
+			crash.Suspects = append(crash.Suspects, other.fingerprint)
+		}
+	}
+	if len(crash.Suspects) == 0 {
+		return
+	}
+	if b.register.Add(now, crash) {
+		b.crashes = append(b.crashes, toldCrash{crash: crash, at: now})
+	}
+}
+
+// convicted takes crashes that another daemon saw.
+func (b *board) convicted(_ time.Duration, crashes []quarantine.Crash) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seat("")
+	delete(b.seats, "")
+	for _, c := range crashes {
+		b.register.Add(time.Now(), c)
+	}
+}
+
+// verdict returns what is known of a request.
+func (b *board) verdict(f quarantine.Fingerprint) quarantine.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.register.Verdict(time.Now(), f)
+}
+
+// acquit clears a request that ran without crashing its server.
+func (b *board) acquit(f quarantine.Fingerprint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.register.Acquit(time.Now(), f)
+}
+
+// runWatch ends attempts whose replica has stalled, so that they go on elsewhere.
+func (g *Gateway) runWatch(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for _, target := range g.board.watch(time.Now()) {
+			g.metrics.events.Add("stalls", 1)
+			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Dur("silent", stallAfter).Msg("replica does not answer")
+		}
+		sleep(ctx, watchInterval)
+	}
+	return nil
+}
+
+// watch ends the attempts that have been silent for too long, and returns the
+// targets that it found stalled.
+func (b *board) watch(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var stalled []string
+	for target, s := range b.seats {
+		silent := len(s.attempts) > 0 && now.Sub(s.lastEvent) > stallAfter
+		if silent && !now.Before(s.suspectUntil) {
+			stalled = append(stalled, target)
+		}
+		for a := range s.attempts {
+			if a.cancel == nil {
+				continue
+			}
+			pause := now.Sub(a.lastEvent)
+			if silent && pause > stallAfter || pause > eventTimeout {
+				a.cancel(errStalled)
+			}
+		}
+		if silent {
+			s.suspectUntil = now.Add(suspectFor)
+		}
+	}
+	return stalled
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,390 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
+)
+
+// tickInterval is the time between looks of the control state at the clock.
+const tickInterval = 100 * time.Millisecond
+
+// A tick gives the control state the time.
+type tick struct{}
+
+// A control is the control state. One actor owns it.
+type control struct {
+	gateway *Gateway
+
+	configuration *site.Configuration
+	configOffset  int64
+	out           map[string]bool
+	servers       roster
+	daemons       map[string]Peer
+	loaded        map[string]bool
+	failed        map[string]bool
+	broken        map[string]int64
+	leadership    leadership
+	dirty         bool
+	traffic       bool
+	tookTraffic   time.Duration
+}
+
+// startControl starts the actor that owns the control state.
+func (g *Gateway) startControl() {
+	g.system = actor.NewActorSystem()
+	c := &control{
+		gateway: g, out: make(map[string]bool), daemons: make(map[string]Peer), loaded: make(map[string]bool),
+		failed: make(map[string]bool), broken: make(map[string]int64), dirty: true,
+	}
+	c.leadership.dead = make(map[string]deadServer)
+	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
+}
+
+// tell sends message to the control state.
+func (g *Gateway) tell(message any) { g.system.Root.Send(g.pid, message) }
+
+// runTicks gives the control state the time.
+func (g *Gateway) runTicks(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.tell(tick{})
+		sleep(ctx, tickInterval)
+	}
+	return nil
+}
+
+// receive takes one message.
+func (c *control) receive(context actor.Context) {
+	now := clock.Boot()
+	switch m := context.Message().(type) {
+	case tick:
+		c.tick(now)
+	case feedPage:
+		c.takePage(now, m)
+	case feedFailed:
+		c.takeFailure(m)
+	case leaseHeld:
+		c.takeLease(now, m)
+	case orderDone:
+		c.takeAnswer(now, m)
+	case probed:
+		c.takeProbe(now, m)
+	}
+	if c.dirty {
+		c.publish(now)
+	}
+}
+
+// tick does what is due.
+func (c *control) tick(now time.Duration) {
+	if c.servers.expire(now) || c.expirePeers(now) {
+		c.dirty = true
+	}
+	if ready := c.canServe(); ready != c.gateway.view.Load().Ready {
+		c.dirty = true
+	}
+	c.lead(now)
+}
+
+// takeFailure notes that a topic cannot be read.
+func (c *control) takeFailure(m feedFailed) {
+	if !c.failed[m.topic] {
+		c.gateway.logger.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("topic", m.topic).Err(m.err).Msg("the store does not answer")
+	}
+	c.failed[m.topic] = true
+}
+
+// takePage takes records of a topic.
+func (c *control) takePage(now time.Duration, m feedPage) {
+	if c.failed[m.topic] {
+		c.gateway.logger.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("topic", m.topic).
+			Dur("missed", m.missed).Msg("the store answers again")
+	}
+	c.failed[m.topic] = false
+	switch m.topic {
+	case platform.TopicOperators:
+		c.takeOperators(now, m)
+	case platform.TopicServers:
+		c.takeServers(now, m)
+	case platform.TopicDaemons:
+		c.takeDaemons(now, m)
+	}
+	c.loaded[m.topic] = true
+}
+
+// takeOperators takes what operators ask for.
+func (c *control) takeOperators(now time.Duration, m feedPage) {
+	if m.whole {
+		c.dropDomains(m.page)
+	}
+	for _, r := range m.page.Records {
+		if r.Key == platform.ConfigurationKey {
+			c.takeConfiguration(r)
+			continue
+		}
+		domain, ok := platform.DomainOut(r.Key)
+		if !ok {
+			continue
+		}
+		if out := len(r.Value) > 0; out != c.out[domain] {
+			c.out = maps.Clone(c.out)
+			delete(c.out, domain)
+			if out {
+				c.out[domain] = true
+			}
+			c.gateway.logger.Info().Str("event", "domain").Str("failure_domain", domain).Bool("out", out).
+				Int64("offset", r.Offset).Dur("age", now-m.sentAt).Msg("operators changed a failure domain")
+			c.dirty = true
+		}
+	}
+}
+
+// dropDomains takes back the domains that a whole page does not name.
+func (c *control) dropDomains(page platform.Page) {
+	named := make(map[string]bool)
+	for _, r := range page.Records {
+		if domain, ok := platform.DomainOut(r.Key); ok {
+			named[domain] = true
+		}
+	}
+	out := maps.Clone(c.out)
+	maps.DeleteFunc(out, func(domain string, _ bool) bool { return !named[domain] })
+	if len(out) != len(c.out) {
+		c.out, c.dirty = out, true
+	}
+}
+
+// takeConfiguration puts a configuration in force, unless it is not newer.
+func (c *control) takeConfiguration(r platform.Record) {
+	if c.configuration != nil && r.Offset <= c.configOffset {
+		return
+	}
+	var (
+		next *site.Configuration
+		err  error
+	)
+	if next, err = platform.DecodeConfiguration(r.Value); err != nil {
+		c.gateway.logger.Error().Str("event", "configuration_refused").Int64("offset", r.Offset).Err(err).Msg("configuration cannot be read")
+		return
+	}
+	if c.configuration != nil && next.Version <= c.configuration.Version {
+		c.gateway.logger.Warn().Str("event", "configuration_refused").Int64("version", next.Version).
+			Int64("in_force", c.configuration.Version).Msg("configuration is older than the one in force")
+		return
+	}
+	c.configuration, c.configOffset, c.dirty = next, r.Offset, true
+	c.gateway.logger.Info().Str("event", "configuration").Int64("version", next.Version).Int64("offset", r.Offset).
+		Int("routes", next.Routes()).Msg("configuration is in force")
+}
+
+// takeServers takes entries of servers.
+func (c *control) takeServers(now time.Duration, m feedPage) {
+	if m.missed > storeAway {
+		c.servers.storeReturned(now)
+	}
+	if m.whole {
+		c.servers.reset(now, m.page)
+	}
+	for _, r := range m.page.Records {
+		if r.Key == "" {
+			continue
+		}
+		if len(r.Value) == 0 {
+			c.dirty = c.servers.remove(now, r) || c.dirty
+			continue
+		}
+		var (
+			s   site.Server
+			err error
+		)
+		if s, err = platform.DecodeServer(r.Key, r.Value); err != nil {
+			c.takeBroken(now, r, err)
+			continue
+		}
+		c.dirty = c.servers.put(now, m.sentAt, r.Offset, s, c.coldFor(s)) || c.dirty
+	}
+}
+
+// takeBroken notes an entry that another writer left; it names no server.
+func (c *control) takeBroken(now time.Duration, r platform.Record, err error) {
+	if _, known := c.broken[r.Key]; !known {
+		c.gateway.metrics.events.Add("broken_entries", 1)
+		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).Err(err).Msg("entry names no server")
+	}
+	c.broken[r.Key] = r.Offset
+	c.dirty = c.servers.remove(now, r) || c.dirty
+}
+
+// coldFor returns how long a server of s's service is cold after its start.
+func (c *control) coldFor(s site.Server) time.Duration {
+	if c.configuration == nil || !c.traffic {
+		return 0
+	}
+	if service := c.configuration.Services[s.Service]; service != nil {
+		return service.ColdFor
+	}
+	return 0
+}
+
+// takeDaemons takes heartbeats.
+func (c *control) takeDaemons(now time.Duration, m feedPage) {
+	if m.missed > storeAway {
+		// Nobody could write either: all have time to be heard again.
+		for key, p := range c.daemons {
+			p.HeardAt = now
+			c.daemons[key] = p
+		}
+	}
+	for _, r := range m.page.Records {
+		var h heartbeat
+		if err := cbor.Unmarshal(r.Value, &h); err != nil || h.Front != r.Key {
+			continue
+		}
+		old, known := c.daemons[r.Key]
+		if m.whole && !known && h.Incarnation != c.gateway.incarnation {
+			// The newest record of a key may be of a daemon that ended long ago.
+			c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now - peerTimeout + heartbeatInterval*3/2}
+			c.dirty = true
+			continue
+		}
+		c.gateway.board.convicted(now, h.Crashes)
+		c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now}
+		c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready || len(h.Loads) > 0 || len(old.Heartbeat.Loads) > 0
+		c.suspect(now, h.Stalled)
+	}
+}
+
+// expirePeers forgets daemons that were not heard from, unless nobody can be
+// heard because the store is away. It returns whether it forgot one.
+func (c *control) expirePeers(now time.Duration) bool {
+	if c.failed[platform.TopicDaemons] {
+		return false
+	}
+	n := len(c.daemons)
+	maps.DeleteFunc(c.daemons, func(_ string, p Peer) bool {
+		if now-p.HeardAt <= peerTimeout {
+			return false
+		}
+		c.gateway.logger.Info().Str("event", "daemon_lost").Str("peer", p.Heartbeat.Daemon).Dur("age", now-p.HeardAt).Msg("daemon was not heard from")
+		return true
+	})
+	return len(c.daemons) != n
+}
+
+// canServe returns whether this daemon knows enough to serve.
+func (c *control) canServe() bool {
+	return c.configuration != nil && c.loaded[platform.TopicServers] && !c.gateway.leaving.Load()
+}
+
+// publish publishes a new view.
+func (c *control) publish(now time.Duration) {
+	c.dirty = false
+	v := &View{
+		Configuration: c.configuration, Out: c.out, Replicas: make(map[string][]Replica), Plain: make(map[string][]site.Server),
+		Others: make(map[string]dispatch.Load), Daemons: 1, Ready: c.canServe(),
+	}
+	c.publishDaemons(v)
+	if c.configuration != nil {
+		for _, s := range c.servers.all() {
+			c.publishServer(v, s)
+		}
+		c.publishReplicas(now, v)
+	}
+	old := c.gateway.view.Load()
+	c.gateway.monitor.Check(old.Configuration == nil || v.Configuration.Version >= old.Configuration.Version,
+		invariant.ConfigurationOffset, "configuration would revert")
+	c.gateway.view.Store(v)
+	if v.Ready != old.Ready {
+		c.gateway.beat()
+	}
+}
+
+// publishDaemons fills in what the daemons tell of themselves.
+func (c *control) publishDaemons(v *View) {
+	for _, key := range slices.Sorted(maps.Keys(c.daemons)) {
+		h := c.daemons[key].Heartbeat
+		if h.Ready && !h.Leaving && key != c.gateway.settings.Front {
+			v.Addresses = append(v.Addresses, h.Front)
+		}
+		if h.Incarnation == c.gateway.incarnation {
+			continue
+		}
+		v.Daemons++
+		for name, load := range h.Loads {
+			v.Others[name] = v.Others[name].Add(load)
+		}
+	}
+	if v.Ready {
+		v.Addresses = append(v.Addresses, c.gateway.settings.Front)
+	}
+	if len(v.Addresses) > platform.MaxAddresses {
+		v.Addresses = v.Addresses[len(v.Addresses)-platform.MaxAddresses:]
+	}
+}
+
+// publishServer adds a server of a service without an engine.
+func (c *control) publishServer(v *View, e entry) {
+	s := e.server
+	service := c.configuration.Services[s.Service]
+	if service == nil || service.Engine != nil || s.Draining || c.out[s.FailureDomain] {
+		return
+	}
+	v.Plain[s.Service] = append(v.Plain[s.Service], s)
+}
+
+// publishReplicas adds the replicas that serve: all their members report the same
+// epoch, and the head is open.
+func (c *control) publishReplicas(now time.Duration, v *View) {
+	members := make(map[string][]entry)
+	for _, e := range c.servers.all() {
+		if m := e.server.Member; m.State >= site.Ready {
+			members[m.Group] = append(members[m.Group], e)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		if r, ok := c.replica(now, name, members[name]); ok {
+			v.Replicas[r.Model.Name] = append(v.Replicas[r.Model.Name], r)
+		}
+	}
+}
+
+// replica returns the replica of the given members if it serves.
+func (c *control) replica(now time.Duration, name string, members []entry) (Replica, bool) {
+	service := c.configuration.Services[members[0].server.Service]
+	if service == nil || service.Engine == nil {
+		return Replica{}, false
+	}
+	model, ok := service.Engine.Model(formation.ModelOf(name))
+	if !ok || len(members) != model.Size {
+		return Replica{}, false
+	}
+	r := Replica{Name: name, Model: model, Members: make([]string, model.Size), Epoch: members[0].server.Member.Epoch}
+	for _, e := range members {
+		s := e.server
+		if s.Draining || c.out[s.FailureDomain] || s.Member.Epoch != r.Epoch || s.Member.Rank >= model.Size || r.Members[s.Member.Rank] != "" {
+			return Replica{}, false
+		}
+		if _, dead := c.leadership.dead[s.ID]; dead {
+			return Replica{}, false
+		}
+		r.Members[s.Member.Rank] = s.ID
+		if s.Member.Rank == 0 {
+			r.Head, r.ColdUntil = s, e.coldUntil
+		}
+	}
+	if r.ColdUntil <= now {
+		r.ColdUntil = 0
+	}
+	return r, r.Head.Member.State == site.Open
+}
--- /dev/null
+++ b/gateway/heartbeat.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
+	"github.com/hawthornrock/hawthornrock/platform"
+)
+
+const (
+	// heartbeatInterval is the time between the heartbeats of a daemon.
+	heartbeatInterval = 1200 * time.Millisecond
+	// peerTimeout is how long a daemon counts as alive after its last heartbeat:
+	// two may be lost. It is below the time after which callers must not be sent to
+	// a daemon that has ended.
+	peerTimeout = 3500 * time.Millisecond
+	// appendTimeout bounds the wait for a record to be taken.
+	appendTimeout = time.Second
+)
+
+// A heartbeat is what one daemon tells all others through the store.
+type heartbeat struct {
+	Daemon      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Front       string `cbor:"3,keyasint"`
+	Zone        string `cbor:"4,keyasint"`
+	Ready       bool   `cbor:"5,keyasint"`
+	Leaving     bool   `cbor:"6,keyasint"`
+	// Loads is the work that the daemon has at each replica.
+	Loads map[string]dispatch.Load `cbor:"7,keyasint"`
+	// Stalled names the replicas that do not answer the daemon.
+	Stalled []string `cbor:"8,keyasint"`
+	// Crashes are the latest crashes of servers under its requests.
+	Crashes []quarantine.Crash `cbor:"9,keyasint"`
+}
+
+// runHeartbeats sends a heartbeat at each interval, and at once when asked to.
+func (g *Gateway) runHeartbeats(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.sendHeartbeat(ctx)
+		timer := time.NewTimer(heartbeatInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-g.beatNow:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// beat asks for a heartbeat now.
+func (g *Gateway) beat() {
+	select {
+	case g.beatNow <- struct{}{}:
+	default:
+	}
+}
+
+// sendHeartbeat writes the heartbeat of this daemon to the store.
+func (g *Gateway) sendHeartbeat(ctx context.Context) {
+	loads, stalled, crashes := g.board.summary()
+	h := heartbeat{
+		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
+		Ready: g.ready(), Leaving: g.leaving.Load(), Loads: loads, Stalled: stalled, Crashes: crashes,
+	}
+	var (
+		data []byte
+		err  error
+	)
+	if data, err = cbor.Marshal(h); err != nil {
+		g.logger.Error().Str("event", "heartbeat_failed").Err(err).Msg("encode heartbeat")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	g.metrics.storeCalls.Add("heartbeat", 1)
+	if _, err = g.store.Put(ctx, platform.TopicDaemons, g.settings.Front, data); err != nil {
+		g.metrics.storeFailures.Add("heartbeat", 1)
+		g.logger.Warn().Str("event", "heartbeat_failed").Err(err).Msg("write heartbeat")
+	}
+}
--- /dev/null
+++ b/gateway/listener.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/platform"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers. Operators publish a
+	// shorter one; this is for callers that keep to none.
+	headerTimeout = 6 * time.Second
+	// callerIdle is how long a caller's unused connection is kept, longer than any
+	// caller reuses one.
+	callerIdle = 60 * time.Second
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+	// closeTimeout bounds the end of a listener.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// A listener is one address that the daemon serves.
+type listener struct {
+	name string
+	net  net.Listener
+	http *http.Server
+}
+
+// listen opens all listeners.
+func (g *Gateway) listen() ([]*listener, error) {
+	var servers []*listener
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"front", g.settings.Front, http.HandlerFunc(g.serveCaller)},
+		{"ready", g.settings.Ready, g.readyHandler()},
+		{"directory", g.settings.Directory, g.directoryHandler()},
+		{"metrics", g.settings.Metrics, g.metricsHandler()},
+	} {
+		if s.address == "" {
+			continue
+		}
+		var (
+			l   net.Listener
+			err error
+		)
+		if l, err = net.Listen("tcp", s.address); err != nil {
+			for _, opened := range servers {
+				err = errors.Join(err, opened.net.Close())
+			}
+			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
+		}
+		servers = append(servers, &listener{name: s.name, net: l, http: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+		}})
+	}
+	return servers, nil
+}
+
+// run serves until the listener is closed.
+func (l *listener) run(context.Context) error {
+	if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.name, err)
+	}
+	return nil
+}
+
+// close ends the listener and its connections.
+func (l *listener) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := l.http.Shutdown(ctx); err != nil {
+		// Connections that outlive the timeout are cut.
+		_ = l.http.Close()
+	}
+}
+
+// readyHandler tells the platform whether this daemon can serve.
+func (g *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// directoryHandler tells callers where to connect.
+func (g *Gateway) directoryHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathResolve, func(w http.ResponseWriter, _ *http.Request) {
+		addresses := g.view.Load().Addresses
+		if len(addresses) == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		platform.ReplyAddresses(w, addresses, directoryTTL)
+	})
+	return mux
+}
+
+// directoryTTL is how long callers may keep the directory's answer. Some keep it
+// three times as long, which still lies within the time that a leaving daemon
+// goes on serving.
+const directoryTTL = 2 * time.Second
+
+// ready returns whether this daemon can serve callers.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.view.Load().Ready && g.confirmedLately()
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// metrics are the counters and histograms of one daemon.
+type metrics struct {
+	outcomes      expvar.Map
+	refusals      expvar.Map
+	events        expvar.Map
+	orders        expvar.Map
+	storeCalls    expvar.Map
+	storeFailures expvar.Map
+
+	firstEvent histogram
+	pause      histogram
+	plain      histogram
+}
+
+// newMetrics returns metrics at zero.
+func newMetrics() *metrics {
+	m := &metrics{}
+	for _, v := range []*expvar.Map{&m.outcomes, &m.refusals, &m.events, &m.orders, &m.storeCalls, &m.storeFailures} {
+		v.Init()
+	}
+	return m
+}
+
+const (
+	// longestTime is the longest time that a histogram tells apart, in milliseconds.
+	longestTime = 60_000
+	// figures is the number of significant figures of a histogram.
+	figures = 2
+)
+
+// A histogram counts times in milliseconds. The zero histogram is ready to use.
+type histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// observe counts d.
+func (h *histogram) observe(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.h == nil {
+		h.h = hdrhistogram.New(1, longestTime, figures)
+	}
+	// A longer time than the longest counts as the longest.
+	_ = h.h.RecordValue(min(d.Milliseconds(), longestTime))
+}
+
+// summary returns the quantiles that people ask for.
+func (h *histogram) summary() map[string]int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.h == nil {
+		return nil
+	}
+	return map[string]int64{
+		"count": h.h.TotalCount(), "p50_ms": h.h.ValueAtQuantile(50), "p95_ms": h.h.ValueAtQuantile(95),
+		"p99_ms": h.h.ValueAtQuantile(99), "max_ms": h.h.Max(),
+	}
+}
+
+// vars returns all metrics of g for publication.
+func (g *Gateway) vars() *expvar.Map {
+	vars := new(expvar.Map).Init()
+	m := g.metrics
+	vars.Set("invariants", g.monitor.Vars())
+	vars.Set("outcomes", &m.outcomes)
+	vars.Set("refusals", &m.refusals)
+	vars.Set("events", &m.events)
+	vars.Set("orders", &m.orders)
+	vars.Set("store_calls", &m.storeCalls)
+	vars.Set("store_failures", &m.storeFailures)
+	for name, h := range map[string]*histogram{"first_event": &m.firstEvent, "pause": &m.pause, "plain": &m.plain} {
+		vars.Set(name, expvar.Func(func() any { return h.summary() }))
+	}
+	vars.Set("in_flight", expvar.Func(func() any { return g.board.total() }))
+	return vars
+}
+
+// metricsHandler serves the metrics as JSON.
+func (g *Gateway) metricsHandler() http.Handler {
+	vars := g.vars()
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if _, err := w.Write([]byte(vars.String())); err != nil {
+			g.logger.Warn().Str("event", "metrics_failed").Err(err).Msg("metrics were not read to the end")
+		}
+	})
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// maxPlainAnswer bounds the answer of a plain service, which is read whole before
+// any of it is passed on, in bytes.
+const maxPlainAnswer = 8 << 20
+
+// errTooLarge means that an answer is larger than a daemon passes on.
+var errTooLarge = errors.New("answer is too large")
+
+// A plainAnswer is the whole answer of a plain service.
+type plainAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// servePlain answers a call of a plain service.
+func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
+	var (
+		tried []string
+		last  *plainAnswer
+	)
+	for {
+		server, ok := g.choosePlain(c, tried)
+		if !ok {
+			g.endPlain(ctx, w, c, last)
+			return
+		}
+		tried = append(tried, server.ID)
+		answer, s, err := g.sendPlain(ctx, c, server)
+		if s != notRun {
+			c.ran++
+		}
+		if s == answered && (answer.status < http.StatusInternalServerError || !c.route.Repeatable()) {
+			g.passOn(w, c, answer)
+			return
+		}
+		if answer != nil {
+			last = answer
+		}
+		if err != nil {
+			c.why = err.Error()
+		}
+		if ctx.Err() != nil || !g.mayRepeat(c, s != notRun) {
+			g.endPlain(ctx, w, c, last)
+			return
+		}
+	}
+}
+
+// endPlain answers a call that is not sent again: with the server's own failure if
+// there is one.
+func (g *Gateway) endPlain(ctx context.Context, w http.ResponseWriter, c *call, last *plainAnswer) {
+	switch {
+	case last != nil && ctx.Err() == nil:
+		g.passOn(w, c, last)
+	case ctx.Err() != nil:
+		g.refuse(w, c, c.expired())
+	default:
+		g.refuse(w, c, c.failed())
+	}
+}
+
+// choosePlain returns the server to which this daemon has given the least work,
+// and among equals one of its own failure domain.
+func (g *Gateway) choosePlain(c *call, tried []string) (site.Server, bool) {
+	servers := g.view.Load().Plain[c.service.Name]
+	g.board.mu.Lock()
+	defer g.board.mu.Unlock()
+	now := time.Now()
+	best, found := site.Server{}, false
+	var bestKey [3]int
+	for _, i := range rand.Perm(len(servers)) {
+		s := servers[i]
+		if slices.Contains(tried, s.ID) {
+			continue
+		}
+		seat := g.board.seat(s.ID)
+		key := [3]int{boolean(now.Before(seat.suspectUntil)), len(seat.attempts), boolean(s.FailureDomain != g.settings.FailureDomain)}
+		if !found || cmp.Or(cmp.Compare(key[0], bestKey[0]), cmp.Compare(key[1], bestKey[1]), cmp.Compare(key[2], bestKey[2])) < 0 {
+			best, bestKey, found = s, key, true
+		}
+	}
+	return best, found
+}
+
+// boolean returns 1 for true.
+func boolean(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// plainTimeout is how long one attempt at an idempotent call of a plain service
+// may take while there is time for another.
+const plainTimeout = 700 * time.Millisecond
+
+// sendPlain makes one attempt at c.
+func (g *Gateway) sendPlain(ctx context.Context, c *call, server site.Server) (*plainAnswer, sign, error) {
+	if c.route.Repeatable() && c.ran+1 < c.route.MaxAttempts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, plainTimeout)
+		defer cancel()
+	}
+	a := &attempt{target: server.ID, sentAt: time.Now()}
+	a.lastEvent = a.sentAt
+	g.board.add(a)
+	defer g.board.remove(a)
+	resp, s, err := g.send(ctx, c, server, "")
+	if s != answered {
+		if !errors.Is(err, errNotRun) {
+			g.board.broke(a, time.Now())
+		}
+		return nil, s, err
+	}
+	defer resp.Body.Close()
+	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header}
+	if answer.body, err = io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer+1)); err != nil {
+		return nil, lost, err
+	}
+	if len(answer.body) > maxPlainAnswer {
+		return nil, lost, errTooLarge
+	}
+	if promises(answer.status) {
+		return nil, lost, errors.New("status " + strconv.Itoa(answer.status) + " without proof")
+	}
+	g.board.event(a, time.Now())
+	g.metrics.plain.observe(time.Since(a.sentAt))
+	return answer, answered, nil
+}
+
+// passOn passes a whole answer to the caller.
+func (g *Gateway) passOn(w http.ResponseWriter, c *call, answer *plainAnswer) {
+	platform.EncodeAnswer(w.Header(), answer.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	w.WriteHeader(answer.status)
+	outcome := "answered"
+	if _, err := w.Write(answer.body); err != nil {
+		// The caller may be gone, and then nobody is left to tell.
+		outcome, c.why = "caller_left", err.Error()
+	}
+	g.ended(c, answer.status, outcome)
+}
--- /dev/null
+++ b/gateway/roster.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+const (
+	// storeAway is how long reads must have failed for the store to count as having
+	// been away.
+	storeAway = 2500 * time.Millisecond
+	// lapsedGrace is how long entries that lapsed while the store was away have to
+	// come back, by the platform's pages.
+	lapsedGrace = 2500 * time.Millisecond
+)
+
+// An entry is one server as it is listed. ColdUntil is on the boot clock.
+type entry struct {
+	server    site.Server
+	offset    int64
+	coldUntil time.Duration
+	// goneAt is when an entry ends that lapsed while the store was away; zero if it
+	// is listed.
+	goneAt time.Duration
+}
+
+// A roster is the list of servers as this daemon has read it. The zero roster is
+// empty.
+type roster struct {
+	entries    map[string]entry
+	removed    map[string]int64
+	graceUntil time.Duration
+}
+
+// storeReturned lets entries that lapsed meanwhile come back.
+func (r *roster) storeReturned(now time.Duration) { r.graceUntil = now + lapsedGrace }
+
+// put takes the entry of s and returns whether anything but its sequence changed.
+// A life that is first seen is cold for coldFor.
+func (r *roster) put(now, sentAt time.Duration, offset int64, s site.Server, coldFor time.Duration) bool {
+	if r.entries == nil {
+		r.entries = make(map[string]entry)
+		r.removed = make(map[string]int64)
+	}
+	old, known := r.entries[s.ID]
+	if known && offset <= old.offset || offset < r.removed[s.ID] {
+		return false
+	}
+	if known && (s.Born < old.server.Born || s.Born == old.server.Born && s.Sequence < old.server.Sequence) {
+		// An entry that was held up on its way.
+		return false
+	}
+	e := entry{server: s, offset: offset, coldUntil: old.coldUntil}
+	if !known || old.server.Born != s.Born {
+		e.coldUntil = now + coldFor
+	}
+	if s.ColdFor > 0 {
+		e.coldUntil = max(e.coldUntil, now+s.ColdFor)
+	}
+	r.entries[s.ID] = e
+	return !known || old.goneAt != 0 || !same(old.server, s) || e.coldUntil != old.coldUntil
+}
+
+// same returns whether two entries say the same but for their sequence.
+func same(a, b site.Server) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining && a.Born == b.Born && a.Member == b.Member &&
+		a.FailureDomain == b.FailureDomain && a.FabricDomain == b.FabricDomain && a.ColdFor == b.ColdFor &&
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Staged, b.Staged)
+}
+
+// remove takes the removal of an entry and returns whether that changed the list.
+func (r *roster) remove(now time.Duration, record platform.Record) bool {
+	e, ok := r.entries[record.Key]
+	if r.removed != nil {
+		r.removed[record.Key] = record.Offset
+	}
+	if !ok || record.Offset <= e.offset {
+		return false
+	}
+	if now < r.graceUntil && !e.server.Draining {
+		e.goneAt = r.graceUntil
+		r.entries[record.Key] = e
+		return false
+	}
+	delete(r.entries, record.Key)
+	return true
+}
+
+// reset drops the entries that a page of all newest records does not hold.
+func (r *roster) reset(now time.Duration, page platform.Page) {
+	listed := make(map[string]bool, len(page.Records))
+	for _, record := range page.Records {
+		listed[record.Key] = true
+	}
+	for id, e := range r.entries {
+		if !listed[id] {
+			r.remove(now, platform.Record{Key: id, Offset: max(page.End, e.offset+1)})
+		}
+	}
+}
+
+// expire drops the entries that did not come back, and returns whether there were
+// any.
+func (r *roster) expire(now time.Duration) bool {
+	n := len(r.entries)
+	maps.DeleteFunc(r.entries, func(_ string, e entry) bool { return e.goneAt != 0 && now >= e.goneAt })
+	return len(r.entries) != n
+}
+
+// all returns the entries in the order of their ids.
+func (r *roster) all() []entry {
+	out := make([]entry, 0, len(r.entries))
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		out = append(out, r.entries[id])
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,341 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hawthornrock/hawthornrock/coordination/budget"
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
+)
+
+// A stream is the answer to one caller, made of one or more attempts.
+type stream struct {
+	call *call
+	w    http.ResponseWriter
+	rc   *http.ResponseController
+	// begun means that the caller has the headers of the answer.
+	begun     bool
+	lastEvent string
+	tried     []string
+}
+
+// serveStream answers a call of a model.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
+	s := &stream{call: c, w: w, rc: http.NewResponseController(w), lastEvent: c.request.LastEvent}
+	for {
+		replica, refused := g.chooseReplica(s)
+		if refused != nil {
+			g.endStream(ctx, s, refused)
+			return
+		}
+		s.tried = append(s.tried, replica.Name)
+		ended, err := g.tryReplica(ctx, s, replica)
+		if err == nil {
+			g.board.acquit(c.fingerprint)
+			g.ended(c, http.StatusOK, "answered")
+			return
+		}
+		c.why = fmt.Sprintf("%s: %v", replica.Name, err)
+		var failure *serverFailure
+		if ctx.Err() != nil || !g.mayRepeat(c, ended != notRun) {
+			if errors.As(err, &failure) && !s.begun && ctx.Err() == nil {
+				g.passOn(w, c, failure.answer)
+				return
+			}
+			g.endStream(ctx, s, nil)
+			return
+		}
+		g.logger.Info().Str("event", "retry").Str("request", c.request.Attempt).Str("why", c.why).Str("last_event", s.lastEvent).
+			Int("ran", c.ran).Msg("request goes on at another replica")
+	}
+}
+
+// endStream ends an answer that is not whole.
+func (g *Gateway) endStream(ctx context.Context, s *stream, refused *refusal) {
+	c := s.call
+	if s.begun {
+		outcome := "broken_off"
+		if errors.Is(ctx.Err(), context.Canceled) {
+			outcome = "caller_left"
+		}
+		g.ended(c, http.StatusOK, outcome)
+		// The library closes the connection without the end of the body, so that the
+		// answer does not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		refused = &refusal{status: http.StatusBadGateway, reason: "caller_left"}
+	case ctx.Err() != nil:
+		refused = c.expired()
+	case refused == nil || c.ran > 0:
+		refused = c.failed()
+	}
+	g.refuse(s.w, c, refused)
+}
+
+// chooseReplica returns the replica with the earliest first token, or the refusal
+// of a request that none can serve in time.
+func (g *Gateway) chooseReplica(s *stream) (Replica, *refusal) {
+	c, view := s.call, g.view.Load()
+	if !g.confirmedLately() && c.sent == 0 {
+		return Replica{}, notServed("stale_configuration")
+	}
+	model, ok := c.service.Engine.Model(c.request.Work.Model)
+	if !ok {
+		return Replica{}, &refusal{status: http.StatusBadRequest, reason: "unknown_model"}
+	}
+	b := &g.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var (
+		replicas   []Replica
+		candidates []dispatch.Candidate
+		now        = time.Now()
+	)
+	for _, r := range view.Replicas[model.Name] {
+		seat := b.seat(r.Name)
+		if slices.Contains(s.tried, r.Name) || now.Before(seat.suspectUntil) || !g.mayBear(seat, r, view.Daemons, false) {
+			continue
+		}
+		replicas = append(replicas, r)
+		candidates = append(candidates, dispatch.Candidate{
+			Load: seat.load().Add(view.Others[r.Name]), Far: r.Head.FailureDomain != g.settings.FailureDomain,
+		})
+	}
+	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, rand.IntN)
+	if i < 0 {
+		return Replica{}, notServed("no_replica")
+	}
+	if c.sent == 0 && expected > g.longestWait(c) {
+		c.why = fmt.Sprintf("first token expected in %v", expected.Round(time.Millisecond))
+		return Replica{}, notServed("overload")
+	}
+	g.mayBear(b.seat(replicas[i].Name), replicas[i], view.Daemons, true)
+	return replicas[i], nil
+}
+
+// lateShare is the part of the time that a caller has left within which a request
+// that has come back is still taken: an answer that is late is worth something,
+// and the stream itself needs the rest.
+const lateShare = 0.25
+
+// overdue is the part of the target beyond which a request is refused that has
+// not come back yet.
+const overdue = 1.5
+
+// longestWait returns how late the first token of c may be expected for it to be
+// taken.
+func (g *Gateway) longestWait(c *call) time.Duration {
+	left := time.Until(c.deadline)
+	if came := c.route.Timeout - c.request.Patience; came > returnSoon/2 {
+		return time.Duration(lateShare * float64(left))
+	}
+	return min(time.Duration(overdue*float64(c.route.Target)), time.Duration(lateShare*float64(left)))
+}
+
+// mayBear returns whether the head of r bears one more request of this daemon; with
+// take set the request is counted. The caller holds the board's lock.
+func (g *Gateway) mayBear(s *seat, r Replica, daemons int, take bool) bool {
+	now := clock.Boot()
+	service := g.view.Load().Configuration.Services[r.Head.Service]
+	if now >= r.ColdUntil || service == nil || service.ColdPerSecond <= 0 {
+		return true
+	}
+	bounds := g.settings.Bounds
+	s.cold.Rate, s.cold.Burst = budget.ColdShare(service.ColdPerSecond*bounds.ColdOverage+bounds.ColdSlack, daemons+coldSpare)
+	if take {
+		return s.cold.Take(now)
+	}
+	trial := s.cold
+	return trial.Take(now)
+}
+
+// coldSpare is the number of daemons that may have come without being known.
+const coldSpare = 2
+
+// A serverFailure is a failure that a server answered with.
+type serverFailure struct{ answer *plainAnswer }
+
+// Error returns the status.
+func (f *serverFailure) Error() string { return fmt.Sprintf("server answered %d", f.answer.status) }
+
+// tryReplica makes one attempt at the rest of s. It returns nil once the caller has
+// the whole answer.
+func (g *Gateway) tryReplica(ctx context.Context, s *stream, replica Replica) (sign, error) {
+	c := s.call
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
+	defer span.End()
+	a := &attempt{target: replica.Name, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), cancel: cancel}
+	a.lastEvent = a.sentAt
+	g.checkNewWork(replica)
+	g.board.add(a)
+	defer g.board.remove(a)
+	resp, ended, err := g.send(ctx, c, replica.Head, s.lastEvent)
+	if ended != notRun {
+		c.ran++
+	}
+	if ended != answered {
+		if !errors.Is(err, errForeign) && context.Cause(ctx) != context.Canceled {
+			g.board.broke(a, time.Now())
+		}
+		if ended == lost && ctx.Err() == nil {
+			g.board.crashed(g.settings.Daemon, replica.Name, a)
+		}
+		return ended, cause(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return answered, g.takeFailure(resp)
+	}
+	if err = g.relay(s, a, resp); err != nil {
+		if ctx.Err() == nil {
+			g.board.broke(a, time.Now())
+			if !a.started {
+				g.board.crashed(g.settings.Daemon, replica.Name, a)
+			}
+		}
+		return lost, cause(ctx, err)
+	}
+	return answered, nil
+}
+
+// cause returns why ctx ended, or err if it did not.
+func cause(ctx context.Context, err error) error {
+	if why := context.Cause(ctx); why != nil {
+		return why
+	}
+	return err
+}
+
+// takeFailure returns the failure that a server answered with.
+func (g *Gateway) takeFailure(resp *http.Response) error {
+	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header}
+	var err error
+	if answer.body, err = io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer)); err != nil {
+		return err
+	}
+	if promises(answer.status) {
+		return fmt.Errorf("status %d without proof", answer.status)
+	}
+	return &serverFailure{answer: answer}
+}
+
+// checkNewWork checks, right before work is given, what must hold for it.
+func (g *Gateway) checkNewWork(r Replica) {
+	view := g.view.Load()
+	i := slices.IndexFunc(view.Replicas[r.Model.Name], func(v Replica) bool { return v.Name == r.Name })
+	g.monitor.Check(len(r.Members) == r.Model.Size, invariant.CompleteReplica, "replica %s has %d members", r.Name, len(r.Members))
+	g.monitor.Check(i >= 0 || !view.Out[r.Head.FailureDomain], invariant.DomainOut, "failure domain %s is out", r.Head.FailureDomain)
+}
+
+const (
+	// readBytes is the size of one read of a stream: several events.
+	readBytes = 8 << 10
+	// writeTimeout bounds the wait for a caller to take an event.
+	writeTimeout = 5 * time.Second
+	// maxEvent bounds one event of a stream, in bytes.
+	maxEvent = 1 << 20
+)
+
+// eventEnd ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// relay passes the events of an attempt to the caller, whole ones only, so that the
+// stream can go on elsewhere.
+func (g *Gateway) relay(s *stream, a *attempt, resp *http.Response) error {
+	buffer := make([]byte, 0, readBytes)
+	for {
+		if len(buffer) == cap(buffer) {
+			if cap(buffer) >= maxEvent {
+				return fmt.Errorf("event is longer than %d bytes", maxEvent)
+			}
+			buffer = slices.Grow(buffer, cap(buffer))
+		}
+		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		whole := bytes.LastIndex(buffer, eventEnd) + len(eventEnd)
+		if errors.Is(err, io.EOF) {
+			whole = len(buffer)
+		}
+		if whole >= len(eventEnd) && whole > 0 {
+			if writeErr := g.passEvents(s, a, resp, buffer[:whole]); writeErr != nil {
+				return writeErr
+			}
+			buffer = buffer[:copy(buffer, buffer[whole:])]
+		}
+		if errors.Is(err, io.EOF) {
+			s.begin(resp)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// passEvents passes whole events to the caller.
+func (g *Gateway) passEvents(s *stream, a *attempt, resp *http.Response, events []byte) error {
+	first := !a.started
+	pause := g.board.event(a, time.Now())
+	if first {
+		g.metrics.firstEvent.observe(pause)
+	} else {
+		g.metrics.pause.observe(pause)
+	}
+	s.begin(resp)
+	if _, err := s.w.Write(events); err != nil {
+		return fmt.Errorf("write to the caller: %w", err)
+	}
+	if err := s.rc.Flush(); err != nil {
+		return fmt.Errorf("write to the caller: %w", err)
+	}
+	if id, ok := lastID(events); ok {
+		s.lastEvent = id
+	}
+	return nil
+}
+
+// begin sends the headers of the answer, once.
+func (s *stream) begin(resp *http.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	platform.EncodeAnswer(s.w.Header(), resp.Header)
+	s.w.Header().Del("Content-Length")
+	if err := s.rc.SetWriteDeadline(s.call.deadline.Add(writeTimeout)); err != nil {
+		s.call.why = err.Error()
+	}
+	s.w.WriteHeader(resp.StatusCode)
+}
+
+// lastID returns the id of the last event that has one.
+func lastID(events []byte) (string, bool) {
+	at := bytes.LastIndex(events, []byte("\nid:"))
+	switch {
+	case at >= 0:
+		events = events[at+len("\nid:"):]
+	case bytes.HasPrefix(events, []byte("id:")):
+		events = events[len("id:"):]
+	default:
+		return "", false
+	}
+	line, _, _ := bytes.Cut(events, []byte("\n"))
+	return string(bytes.TrimSpace(line)), true
+}
--- /dev/null
+++ b/gateway/view.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// A Replica is one replica that serves.
+type Replica struct {
+	Name    string
+	Epoch   int64
+	Model   site.Model
+	Head    site.Server
+	Members []string
+	// ColdUntil is the time, on the boot clock, until which the head is cold.
+	ColdUntil time.Duration
+}
+
+// A Peer is one daemon as its last heartbeat described it.
+type Peer struct {
+	Heartbeat heartbeat
+	HeardAt   time.Duration
+}
+
+// A View is what traffic acts on. It is immutable.
+type View struct {
+	Configuration *site.Configuration
+	// Out holds the failure domains that operators took out of service.
+	Out map[string]bool
+	// Replicas holds the replicas that serve, by model.
+	Replicas map[string][]Replica
+	// Plain holds the servers of services without an engine.
+	Plain map[string][]site.Server
+	// Addresses are those of the daemons that callers may use.
+	Addresses []string
+	// Daemons is the number of daemons that may be sending, at least 1.
+	Daemons int
+	// Others is the work that other daemons have at each replica.
+	Others map[string]dispatch.Load
+	// Ready means that this daemon can serve.
+	Ready bool
+}
--- /dev/null
+++ b/gatewaycmd.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/phuslu/log"
+
+	"github.com/hawthornrock/hawthornrock/gateway"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/settings"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/lines"
+	"github.com/hawthornrock/hawthornrock/transport/spans"
+)
+
+// memoryPart is the part of a process's memory that the heap may grow to before
+// the collector works harder; the rest is for stacks and sockets.
+const memoryPart = 0.6
+
+// A gatewayCommand runs one daemon on the users' platform.
+type gatewayCommand struct {
+	streams
+	file  string
+	trace string
+}
+
+// Name implements subcommands.Command.
+func (*gatewayCommand) Name() string { return "gateway" }
+
+// Synopsis implements subcommands.Command.
+func (*gatewayCommand) Synopsis() string { return "run one daemon on the users' platform" }
+
+// Usage implements subcommands.Command.
+func (*gatewayCommand) Usage() string {
+	return "gateway [-settings FILE] [-trace FILE]\n\nRuns one daemon on the users' platform until SIGINT or SIGTERM, then stops as planned.\n" +
+		"FILE is the platform's settings file; " + platform.SettingsVariable + " names it by default.\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	f.StringVar(&c.trace, "trace", "", "file that traces are written to")
+}
+
+// Execute implements subcommands.Command.
+func (c *gatewayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var (
+		s        site.Settings
+		recorder *spans.Recorder
+		err      error
+	)
+	if s, err = platform.ReadSettings(c.file); err != nil {
+		return c.fail(exitUsage, err)
+	}
+	if recorder, err = spans.New(ctx, settings.Trace{File: c.trace, Ratio: 1}, s.Daemon); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	defer recorder.Close()
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.Limits.MemoryMB) * (1 << 20)))
+	out := &lines.Writer{Out: c.out}
+	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: out}}
+	written, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- out.Run(written) }()
+	err = gateway.New(s, logger, recorder.Tracer()).Run(ctx)
+	cancel()
+	if err = errors.Join(err, <-ended); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	return exitOK
+}
--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -47,7 +47,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return decode(resp, response)
+	return Decode(resp, response)
 }
 
 // Refused returns whether err proves that nothing listens at the address that
@@ -62,8 +62,8 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-// decode reads the answer into response.
-func decode(resp *http.Response, response any) error {
+// Decode reads the answer into response.
+func Decode(resp *http.Response, response any) error {
 	var (
 		body []byte
 		err  error
