--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -474,12 +474,13 @@
 	if n == 0 {
 		return true
 	}
-	p := s.planner
-	if e := s.fleet.Engine; e.LoadsAtOnce > 0 && len(p.loading) > 0 && len(p.loading)+n > e.LoadsAtOnce {
-		return false
-	}
+	p, atOnce := s.planner, s.fleet.Engine.LoadsAtOnce
 	if !s.fleet.Traffic {
-		return true
+		// Twice as many as are loaded at full speed hide the lag of the list.
+		return s.now-p.since > rushAfter || len(p.loading)+n <= max(2*atOnce, n)
+	}
+	if atOnce > 0 && len(p.loading) > 0 && len(p.loading)+n > atOnce {
+		return false
 	}
 	p.loads = slices.DeleteFunc(p.loads, func(at time.Duration) bool { return s.now-at > s.fleet.Window })
 	ceiling := s.fleet.Ceiling
@@ -490,6 +491,11 @@
 	return float64(len(p.loads)+n) <= ceiling
 }
 
+// rushAfter is the time from the first leader's start after which all servers load
+// at once: loads are cheap and bounded by no ceiling only until callers come, by
+// the platform's pages ten seconds after the machines start or later.
+const rushAfter = 5 * time.Second
+
 // load counts a load that server begins.
 func (s *step) load(server site.Server) {
 	s.planner.loading[server.ID] = s.now
--- /dev/null
+++ b/coordination/tenure/tenure_test.go
@@ -0,0 +1,160 @@
+package tenure_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/tenure"
+)
+
+var bounds = tenure.Bounds{Hold: 2 * time.Second, Wait: 2500 * time.Millisecond}
+
+func ExampleCandidate() {
+	c := tenure.Candidate{Bounds: bounds}
+	c.Ended(0, 0)
+	end, may := c.Claim(0, 0)
+	fmt.Println(end, may)
+	c.Won(0)
+	fmt.Println(c.Leads(time.Second))
+	fmt.Println(c.Leads(3 * time.Second))
+	// Output:
+	// 0 true
+	// 1 true
+	// 1 false
+}
+
+func TestClaim(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(c *tenure.Candidate)
+		at   time.Duration
+		want bool
+	}{
+		{"nothing_known", func(*tenure.Candidate) {}, time.Hour, false},
+		{"first_start", func(c *tenure.Candidate) { c.Ended(0, 0) }, 0, true},
+		{"unknown_holder", func(c *tenure.Candidate) { c.Ended(0, 3) }, time.Second, false},
+		{"unknown_holder_silent", func(c *tenure.Candidate) { c.Ended(0, 3) }, 3 * time.Second, true},
+		{"holder_heard", func(c *tenure.Candidate) { c.Ended(0, 3); c.Heard(2*time.Second, 3, false) }, 4 * time.Second, false},
+		{"holder_resigned", func(c *tenure.Candidate) { c.Ended(0, 3); c.Heard(time.Second, 3, true) }, time.Second, true},
+		{"old_holder_heard", func(c *tenure.Candidate) { c.Ended(0, 3); c.Heard(2*time.Second, 2, false) }, 3 * time.Second, true},
+		{"claim_lost", func(c *tenure.Candidate) { c.Ended(0, 3); c.Lost(3*time.Second, 4) }, 4 * time.Second, false},
+		{"own_term_lapsed", func(c *tenure.Candidate) { c.Ended(0, 0); c.Won(0) }, 2 * time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := tenure.Candidate{Bounds: bounds}
+			tc.do(&c)
+			_, may := c.Claim(tc.at, tc.at)
+			require.Equal(t, tc.want, may)
+		})
+	}
+}
+
+func TestRenewalCountsFromBeforeItWasSent(t *testing.T) {
+	c := tenure.Candidate{Bounds: bounds}
+	c.Ended(0, 0)
+	c.Won(0)
+	// The answer reaches a daemon that stood still for ten seconds.
+	c.Renewed(10*time.Second, time.Second, 1)
+	_, leads := c.Leads(10 * time.Second)
+	require.False(t, leads)
+	c.Renewed(10*time.Second, 9*time.Second, 1)
+	_, leads = c.Leads(10 * time.Second)
+	require.False(t, leads, "a term that lapsed is not renewed but claimed again")
+}
+
+// A world is a store with a topic of terms and one of heartbeats, and daemons whose
+// calls to it are slow, lost or carried out late.
+type world struct {
+	t          *rapid.T
+	now        time.Duration
+	end        int64
+	beats      []int64
+	candidates [3]tenure.Candidate
+	read       [3]int
+	readAt     [3]time.Duration
+	onTheWay   []beat
+}
+
+// A beat is a heartbeat that the store has not taken yet.
+type beat struct {
+	daemon int
+	term   int64
+	sent   time.Duration
+}
+
+// readBeats lets daemon i read heartbeats by a call that took some time.
+func (w *world) readBeats(i int) {
+	sent := w.now
+	seen := len(w.beats)
+	w.now += time.Duration(rapid.IntRange(0, 900).Draw(w.t, "answer")) * time.Millisecond
+	for _, term := range w.beats[w.read[i]:seen] {
+		w.candidates[i].Heard(w.now, term, false)
+	}
+	w.read[i], w.readAt[i] = seen, sent
+}
+
+// claim lets daemon i claim a term if it may.
+func (w *world) claim(i int) {
+	at, ok := w.candidates[i].Claim(w.now, w.readAt[i])
+	switch {
+	case !ok:
+	case at != w.end:
+		w.candidates[i].Lost(w.now, w.end)
+	default:
+		w.end++
+		if rapid.Bool().Draw(w.t, "answered") {
+			w.candidates[i].Won(w.now)
+		}
+	}
+}
+
+// take lets the store take a heartbeat that is on its way, and its daemon learn it.
+func (w *world) take() {
+	if len(w.onTheWay) == 0 {
+		return
+	}
+	b := w.onTheWay[0]
+	w.onTheWay = w.onTheWay[1:]
+	w.beats = append(w.beats, b.term)
+	w.now += time.Duration(rapid.IntRange(0, 900).Draw(w.t, "answer")) * time.Millisecond
+	w.candidates[b.daemon].Renewed(w.now, b.sent, b.term)
+}
+
+// TestOneLeader checks that no two daemons lead at once.
+func TestOneLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t}
+		for i := range w.candidates {
+			w.candidates[i].Bounds = bounds
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			w.now += time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, len(w.candidates)-1).Draw(t, "daemon")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				w.candidates[i].Ended(w.now, w.end)
+			case 1:
+				w.claim(i)
+			case 2:
+				if term, leads := w.candidates[i].Leads(w.now); leads {
+					w.onTheWay = append(w.onTheWay, beat{daemon: i, term: term, sent: w.now})
+				}
+			case 3:
+				w.readBeats(i)
+			case 4:
+				w.take()
+			}
+			leaders := 0
+			for j := range w.candidates {
+				if _, ok := w.candidates[j].Leads(w.now); ok {
+					leaders++
+				}
+			}
+			require.LessOrEqual(t, leaders, 1)
+		}
+	})
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -49,6 +49,7 @@
 		failed: make(map[string]bool), broken: make(map[string]int64), dirty: true,
 	}
 	c.leadership.dead = make(map[string]deadServer)
+	c.leadership.candidate.Bounds = tenureBounds
 	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
 
@@ -74,8 +75,12 @@
 		c.takePage(now, m)
 	case feedFailed:
 		c.takeFailure(m)
-	case leaseHeld:
-		c.takeLease(now, m)
+	case termsRead:
+		c.takeTerms(now, m)
+	case claimed:
+		c.takeClaim(now, m)
+	case beaten:
+		c.leadership.candidate.Renewed(now, m.sentAt, m.term)
 	case orderDone:
 		c.takeAnswer(now, m)
 	case probed:
@@ -94,6 +99,7 @@
 	if ready := c.canServe(); ready != c.gateway.view.Load().Ready {
 		c.dirty = true
 	}
+	c.elect(now)
 	c.lead(now)
 }
 
@@ -258,11 +264,15 @@
 			c.dirty = true
 			continue
 		}
+		if h.Incarnation != c.gateway.incarnation {
+			c.leadership.candidate.Heard(now, h.Term, h.Leaving)
+		}
 		c.gateway.board.convicted(now, h.Crashes)
 		c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now}
 		c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready || len(h.Loads) > 0 || len(old.Heartbeat.Loads) > 0
 		c.suspect(now, h.Stalled)
 	}
+	c.leadership.heardAt = m.sentAt
 }
 
 // expirePeers forgets daemons that were not heard from, unless nobody can be
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,10 +46,14 @@
 	// of what operators ask for was sent.
 	confirmed atomic.Int64
 	leaving   atomic.Bool
-	serving   sync.WaitGroup
-	board     board
-	retryMu   sync.Mutex
-	retries   map[string]*budget.Retries
+	// term is the term under which this daemon leads, zero if it does not; led is
+	// the last one.
+	term    atomic.Int64
+	led     atomic.Int64
+	serving sync.WaitGroup
+	board   board
+	retryMu sync.Mutex
+	retries map[string]*budget.Retries
 	// beatNow asks for a heartbeat before the next one is due.
 	beatNow chan struct{}
 }
@@ -173,7 +177,6 @@
 	g.tasks.Go(ctx, "servers", g.followServers)
 	g.tasks.Go(ctx, "daemons", g.followDaemons)
 	g.tasks.Go(ctx, "heartbeats", g.runHeartbeats)
-	g.tasks.Go(ctx, "leadership", g.runLeadership)
 	g.tasks.Go(ctx, "watch", g.runWatch)
 }
 
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -9,11 +9,14 @@
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
 	// heartbeatInterval is the time between the heartbeats of a daemon.
 	heartbeatInterval = 1200 * time.Millisecond
+	// leaderInterval is the time between the heartbeats of the leader.
+	leaderInterval = 600 * time.Millisecond
 	// peerTimeout is how long a daemon counts as alive after its last heartbeat:
 	// two may be lost. It is below the time after which callers must not be sent to
 	// a daemon that has ended.
@@ -36,13 +39,20 @@
 	Stalled []string `cbor:"8,keyasint"`
 	// Crashes are the latest crashes of servers under its requests.
 	Crashes []quarantine.Crash `cbor:"9,keyasint"`
+	// Term is the term that the daemon leads under, or the last one if it leaves;
+	// zero if there is none.
+	Term int64 `cbor:"10,keyasint"`
 }
 
 // runHeartbeats sends a heartbeat at each interval, and at once when asked to.
 func (g *Gateway) runHeartbeats(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.sendHeartbeat(ctx)
-		timer := time.NewTimer(heartbeatInterval)
+		interval := heartbeatInterval
+		if g.term.Load() != 0 {
+			interval = leaderInterval
+		}
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -68,6 +78,11 @@
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
 		Ready: g.ready(), Leaving: g.leaving.Load(), Loads: loads, Stalled: stalled, Crashes: crashes,
 	}
+	if h.Term = g.term.Load(); h.Term != 0 {
+		g.led.Store(h.Term)
+	} else if h.Leaving {
+		h.Term = g.led.Load()
+	}
 	var (
 		data []byte
 		err  error
@@ -79,8 +94,11 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	g.metrics.storeCalls.Add("heartbeat", 1)
+	sent := clock.Boot()
 	if _, err = g.store.Put(ctx, platform.TopicDaemons, g.settings.Front, data); err != nil {
 		g.metrics.storeFailures.Add("heartbeat", 1)
 		g.logger.Warn().Str("event", "heartbeat_failed").Err(err).Msg("write heartbeat")
+		return
 	}
+	g.tell(beaten{sentAt: sent, term: g.term.Load()})
 }
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -2,27 +2,17 @@
 
 import (
 	"context"
-	"slices"
+	"errors"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/tenure"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
-	// leaseTTL is how long the store keeps a member that is silent.
-	leaseTTL = 3 * time.Second
-	// leaseGuard is how much earlier the holder stops, for drift of clocks and an
-	// order on its way.
-	leaseGuard = time.Second
-	// leaseInterval is the time between renewals: two may be lost.
-	leaseInterval = 800 * time.Millisecond
-	// leadGroup names the group of daemons that may lead.
-	leadGroup = "leaders"
-	// leadPart is the partition whose holder leads.
-	leadPart = 0
 	// probeTimeout bounds the wait for a server's own report: many round trips.
 	probeTimeout = 400 * time.Millisecond
 	// probeInterval is the time between looks at the same replica.
@@ -34,11 +24,22 @@
 	deadFor = 6 * time.Second
 )
 
-// A leaseHeld tells the control state that this daemon leads until a time on the
-// boot clock. Term is zero if it does not.
-type leaseHeld struct {
-	term  int64
-	until time.Duration
+// A termsRead is the end of the topic of terms.
+type termsRead struct {
+	end int64
+	err error
+}
+
+// A claimed is the end of an attempt to take a term.
+type claimed struct {
+	sentAt time.Duration
+	err    error
+}
+
+// A beaten tells that a heartbeat of this daemon was taken by the store.
+type beaten struct {
+	sentAt time.Duration
+	term   int64
 }
 
 // An orderDone is an order with its answer.
@@ -62,105 +63,116 @@
 
 // leadership is what the control state knows of this daemon's own lead.
 type leadership struct {
+	candidate tenure.Candidate
+	// read means that the end of the topic of terms is known, heardAt is when the
+	// last read of heartbeats was sent that brought an answer.
+	read    bool
+	heardAt time.Duration
+	// asking means that a call about terms is on its way, askAt when the next may be.
+	asking  bool
+	askAt   time.Duration
 	term    int64
-	until   time.Duration
 	planner *formation.Planner
 	// probing holds when each suspected replica was last looked at.
 	probing map[string]time.Duration
 	dead    map[string]deadServer
 }
 
-// runLeadership keeps this daemon in the group of those that may lead. Whoever the
-// store deals the partition to leads, under a term that is the offset of a record
-// of its own, so that terms rise for ever.
-func (g *Gateway) runLeadership(ctx context.Context) error {
-	var (
-		generation int64
-		term       int64
-	)
-	for ctx.Err() == nil {
-		sent := clock.Boot()
-		lease, err := g.join(ctx, generation)
-		switch {
-		case err != nil:
-			g.metrics.storeFailures.Add("join", 1)
-		case !slices.Contains(lease.Parts, leadPart) || g.leaving.Load():
-			generation, term = lease.Generation, 0
-			g.tell(leaseHeld{})
-		default:
-			generation = lease.Generation
-			if term == 0 {
-				term = g.newTerm(ctx)
-			}
-			if term != 0 {
-				g.tell(leaseHeld{term: term, until: sent + leaseTTL - leaseGuard})
-			}
-		}
-		if err != nil && clock.Boot()-sent > leaseTTL {
-			term = 0
-		}
-		if g.leaving.Load() {
-			return g.resign(ctx)
-		}
-		sleep(ctx, leaseInterval)
-	}
-	return nil
+// tenureBounds are the times by which daemons follow each other as leaders. A
+// leader's heartbeats come every leaderInterval, so that two may be lost; the wait
+// leaves half a second for drift of clocks and orders on their way.
+var tenureBounds = tenure.Bounds{Hold: 2 * time.Second, Wait: 2500 * time.Millisecond}
+
+// readTerms finds out how many terms there were.
+func (c *control) readTerms() {
+	g := c.gateway
+	c.leadership.asking = true
+	g.work.Go(context.Background(), "terms", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		g.metrics.storeCalls.Add("terms", 1)
+		end, err := g.store.End(ctx, platform.TopicTerms)
+		g.tell(termsRead{end: end, err: err})
+		return nil
+	})
 }
 
-// join renews the membership of this daemon.
-func (g *Gateway) join(ctx context.Context, generation int64) (platform.Lease, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	g.metrics.storeCalls.Add("join", 1)
-	return g.store.Join(ctx, leadGroup, g.incarnation, platform.TopicDuties, max(leaseTTL, g.settings.Bounds.MinLease), generation)
+// claim tries to take the term at end.
+func (c *control) claim(end int64) {
+	g := c.gateway
+	c.leadership.asking = true
+	g.work.Go(context.Background(), "claim", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		g.metrics.storeCalls.Add("claim", 1)
+		sent := clock.Boot()
+		err := g.store.AppendAt(ctx, platform.TopicTerms, end, g.incarnation)
+		g.tell(claimed{sentAt: sent, err: err})
+		return nil
+	})
 }
 
-// newTerm begins a term and returns it, zero if the store did not answer. A record
-// that is taken late only leaves a gap.
-func (g *Gateway) newTerm(ctx context.Context) int64 {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	g.metrics.storeCalls.Add("term", 1)
-	var (
-		offset int64
-		err    error
-	)
-	if offset, err = g.store.Append(ctx, platform.TopicTerms, []byte(g.incarnation)); err != nil {
-		g.metrics.storeFailures.Add("term", 1)
-		g.logger.Warn().Str("event", "term_failed").Err(err).Msg("no term to lead under")
-		return 0
+// takeTerms takes the end of the topic of terms.
+func (c *control) takeTerms(now time.Duration, m termsRead) {
+	c.leadership.asking = false
+	if m.err != nil {
+		c.gateway.metrics.storeFailures.Add("terms", 1)
+		c.leadership.askAt = now + retryInterval
+		return
 	}
-	return offset + 1
+	c.leadership.read = true
+	c.leadership.candidate.Ended(now, m.end)
 }
 
-// resign gives the lead up before this daemon ends.
-func (g *Gateway) resign(ctx context.Context) error {
-	g.tell(leaseHeld{})
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	if err := g.store.Leave(ctx, leadGroup, g.incarnation); err != nil {
-		g.logger.Warn().Str("event", "resign_failed").Err(err).Msg("the lease has to lapse")
+// takeClaim takes the end of an attempt to take a term.
+func (c *control) takeClaim(now time.Duration, m claimed) {
+	l := &c.leadership
+	l.asking = false
+	var conflict *platform.ConflictError
+	switch {
+	case m.err == nil:
+		l.candidate.Won(m.sentAt)
+	case errors.As(m.err, &conflict):
+		l.candidate.Lost(now, conflict.End)
+	default:
+		c.gateway.metrics.storeFailures.Add("claim", 1)
+		l.askAt = now + retryInterval
 	}
-	return nil
 }
 
-// takeLease takes what the store said about the lead.
-func (c *control) takeLease(now time.Duration, m leaseHeld) {
+// elect claims a term if this daemon may, and notes when it begins or ends to lead.
+func (c *control) elect(now time.Duration) {
 	l := &c.leadership
-	if m.term == l.term {
-		l.until = max(l.until, m.until)
+	if !l.asking && now >= l.askAt && !c.gateway.leaving.Load() {
+		if end, may := l.candidate.Claim(now, l.heardAt); !l.read {
+			c.readTerms()
+		} else if may && c.canServe() {
+			c.claim(end)
+		}
+	}
+	if c.gateway.leaving.Load() {
+		l.candidate.Resign()
+	}
+	term, leads := l.candidate.Leads(now)
+	if !leads {
+		term = 0
+	}
+	if old := c.gateway.term.Swap(term); old == term {
 		return
 	}
-	c.gateway.logger.Info().Str("event", "leadership").Int64("term", m.term).Int64("before", l.term).Dur("for", m.until-now).Msg("lead changed")
-	*l = leadership{term: m.term, until: m.until, dead: l.dead, probing: make(map[string]time.Duration)}
-	if m.term != 0 {
-		l.planner = formation.New(m.term, now)
+	c.gateway.logger.Info().Str("event", "leadership").Int64("term", term).Dur("until", l.candidate.Until()-now).Msg("lead changed")
+	l.planner, l.probing = nil, make(map[string]time.Duration)
+	if leads {
+		l.planner = formation.New(term, now)
+		l.term = term
+		c.gateway.beat()
 	}
 }
 
 // leads returns whether this daemon leads now.
 func (c *control) leads(now time.Duration) bool {
-	return c.leadership.planner != nil && now < c.leadership.until
+	_, leads := c.leadership.candidate.Leads(now)
+	return leads && c.leadership.planner != nil
 }
 
 // engineService returns the service whose servers form replicas.
@@ -222,7 +234,7 @@
 
 // give sends an order from a goroutine of its own.
 func (c *control) give(o formation.Order) {
-	g, term, until := c.gateway, c.leadership.term, c.leadership.until
+	g, term, until := c.gateway, c.leadership.term, c.leadership.candidate.Until()
 	g.work.Go(context.Background(), "order", func(ctx context.Context) error {
 		if clock.Boot() >= until {
 			g.tell(orderDone{order: o, answer: formation.Declined, term: term})
