--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -61,6 +61,17 @@
 	return time.Duration(total * factor)
 }
 
+// usualBatch is the number of requests that a replica is taken to run at once where
+// work is compared: half of what the engines of today's deployments run.
+const usualBatch = 13
+
+// Busy returns how long work keeps a replica of m busy that runs a usual batch.
+func Busy(e *site.Engine, m site.Model, work Work) time.Duration {
+	reading := float64(work.Prompt) / max(e.ReadPerSecond, 1) * float64(time.Second)
+	step := float64(e.Step)/usualBatch + float64(e.StepPerRequest)
+	return time.Duration((reading + float64(work.Answer)*step) * m.Pace)
+}
+
 // pass returns the time of the steps that an engine makes between two chunks.
 func pass(e *site.Engine, writing int) time.Duration {
 	return time.Duration(e.Stride) * (e.Step + time.Duration(writing)*e.StepPerRequest)
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -22,8 +22,10 @@
 	Servers map[string]site.Server
 	Dead    map[string]bool
 	Out     map[string]bool
-	// Demand is the work that callers ask of each model, in any unit; the shares of
-	// the engine stand in where it is empty.
+	// Last is the model of the last replica that each server belonged to in its life.
+	Last map[string]string
+	// Demand is the work that callers ask of each model, in replicas kept busy. The
+	// shares of the engine stand in for a model that nobody asked for.
 	Demand map[string]float64
 	// Traffic means that callers have begun to call.
 	Traffic bool
@@ -44,7 +46,21 @@
 	sent     map[string]sentOrder
 	loads    []time.Duration
 	loading  map[string]time.Duration
-	last     map[string]string
+	// held are servers that left a replica whose head may still be open.
+	held map[string]hold
+	// retired are replicas that are closed so that others can use their servers.
+	retired   map[string]time.Duration
+	retiredAt time.Duration
+	// known and grewAt tell when the number of servers last grew.
+	known  int
+	grewAt time.Duration
+}
+
+// A hold keeps a server that left group from joining another one until a time at
+// which the head is broken for certain.
+type hold struct {
+	group string
+	until time.Duration
 }
 
 // A formed replica is one that this planner has ordered.
@@ -85,7 +101,8 @@
 func New(term int64, now time.Duration) *Planner {
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*lostHead),
-		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), last: make(map[string]string),
+		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), held: make(map[string]hold),
+		retired: make(map[string]time.Duration), grewAt: now,
 	}
 }
 
@@ -117,8 +134,12 @@
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), have: make(map[string]int)}
 	s.collect()
 	s.tend()
+	s.tendHeld()
 	s.gather()
-	s.form()
+	if s.settled() {
+		s.form()
+		s.retire()
+	}
 	s.stage()
 	return s.orders
 }
@@ -149,7 +170,6 @@
 		if m.State == site.Unassigned {
 			continue
 		}
-		s.planner.last[id] = ModelOf(m.Group)
 		r, ok := s.replicas[m.Group]
 		if !ok {
 			model, _ := s.fleet.Engine.Model(ModelOf(m.Group))
@@ -217,11 +237,18 @@
 func (s *step) tendWhole(r *replica) {
 	s.have[r.model.Name]++
 	ready := true
+	head := r.members[0]
+	if _, ok := s.planner.retired[r.name]; ok {
+		s.have[r.model.Name]--
+		if head.Member.State != site.Open && head.Member.State != site.Closing {
+			// Its members are free.
+			return
+		}
+	}
 	for _, server := range r.members {
 		s.busy[server.ID] = true
 		ready = ready && server.Member.State >= site.Ready
 	}
-	head := r.members[0]
 	if head.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
 	}
@@ -293,27 +320,55 @@
 	if !lost.lost {
 		lost.lost, lost.lostAt = true, s.now
 	}
-	listed, ok := s.fleet.Servers[lost.server.ID]
-	reborn := ok && lost.server.ID != "" && (listed.Born != lost.server.Born || listed.Member.Group != r.name)
-	closed := lost.closed > 0 && s.now-lost.closed > time.Second
-	if lost.absent || reborn || closed || s.now-lost.lostAt > s.fleet.Stall+time.Second && s.left(r) {
+	if s.surelyClosed(r.name) {
 		return
 	}
 	s.keep(r)
-	if lost.server.ID != "" {
-		s.order(Order{Server: lost.server.ID, Address: lost.server.Address, Action: Preempt, Group: r.name, Epoch: r.epoch})
-	}
 	for _, server := range r.members {
 		if s.fleet.Dead[server.ID] || server.ID == lost.server.ID {
 			continue
 		}
+		if _, ok := s.planner.held[server.ID]; !ok {
+			s.planner.held[server.ID] = hold{group: r.name, until: s.now + s.fleet.Stall + holdMargin}
+		}
 		s.order(Order{Server: server.ID, Address: server.Address, Action: Leave, Group: r.name, Epoch: r.epoch})
 	}
 }
 
-// left returns whether a head of r has been without its members for long enough
-// to be broken. Members that still report r have not left.
-func (s *step) left(r *replica) bool { return s.now-s.planner.heads[r.name].lostAt > 2*s.fleet.Stall }
+// holdMargin is added to the time after which a head without members is broken:
+// for the way of the orders to leave.
+const holdMargin = time.Second
+
+// surelyClosed returns whether the head of group cannot serve any more: it is
+// gone, has a new life or another replica, or said that it closed.
+func (s *step) surelyClosed(group string) bool {
+	lost, ok := s.planner.heads[group]
+	if !ok {
+		return false
+	}
+	listed, ok := s.fleet.Servers[lost.server.ID]
+	reborn := ok && lost.server.ID != "" && (listed.Born != lost.server.Born || listed.Member.Group != group)
+	return lost.absent || reborn || lost.closed > 0 && s.now-lost.closed > time.Second
+}
+
+// tendHeld asks heads that cannot be reached to close, and lets go of the servers
+// that left them once that is certain.
+func (s *step) tendHeld() {
+	for _, id := range slices.Sorted(maps.Keys(s.planner.held)) {
+		h := s.planner.held[id]
+		_, listed := s.fleet.Servers[id]
+		if !listed || s.now >= h.until || s.surelyClosed(h.group) {
+			delete(s.planner.held, id)
+			continue
+		}
+		s.busy[id] = true
+		if lost, ok := s.planner.heads[h.group]; ok && lost.server.ID != "" {
+			s.order(Order{
+				Server: lost.server.ID, Address: lost.server.Address, Action: Preempt, Group: h.group, Epoch: lost.server.Member.Epoch,
+			})
+		}
+	}
+}
 
 // keep marks the members of r as not free.
 func (s *step) keep(r *replica) {
@@ -356,6 +411,26 @@
 	}
 }
 
+// settled returns whether replicas may be formed. Before callers come the list of
+// servers fills up within a few seconds; what is formed of a part of it fits badly.
+func (s *step) settled() bool {
+	p := s.planner
+	if n := len(s.fleet.Servers); n != p.known {
+		if n > p.known {
+			p.grewAt = s.now
+		}
+		p.known = n
+	}
+	return s.fleet.Traffic || s.now-p.grewAt >= settleTime || s.now-p.since >= longestSettle
+}
+
+const (
+	// settleTime is how long no server must have come: twice the lag of the list.
+	settleTime = 1500 * time.Millisecond
+	// longestSettle bounds the wait, so that replicas are formed before callers come.
+	longestSettle = 3 * time.Second
+)
+
 // gather lists the servers that are free, by their fabric domain.
 func (s *step) gather() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
@@ -391,17 +466,25 @@
 
 // need returns how much work there is for one more replica of m.
 func (s *step) need(m site.Model) float64 {
-	demand, ok := s.fleet.Demand[m.Name]
-	if !ok {
-		demand = m.Share / float64(max(m.Size, 1))
+	return s.demand(m) / (float64(s.have[m.Name]) + 0.5)
+}
+
+// demand returns the work that there is for replicas of m.
+func (s *step) demand(m site.Model) float64 {
+	asked := 0.0
+	for _, other := range s.fleet.Engine.Models {
+		if s.fleet.Demand[other.Name] == 0 {
+			return m.Share / float64(max(m.Size, 1))
+		}
+		asked += s.fleet.Demand[other.Name]
 	}
-	return demand / (float64(s.have[m.Name]) + 0.5)
+	return s.fleet.Demand[m.Name] / asked
 }
 
 // cost returns the time for server to be ready for m.
 func (s *step) cost(server site.Server, m site.Model) time.Duration {
 	switch {
-	case s.planner.last[server.ID] == m.Name && slices.Contains(server.Models, m.Name):
+	case s.fleet.Last[server.ID] == m.Name:
 		return 0
 	case slices.Contains(server.Staged, m.Name):
 		return m.Warm
@@ -409,27 +492,21 @@
 	return m.Load
 }
 
-// form orders new replicas of free servers: first those that need no load, then
-// those that do, while the ceiling allows it.
+// form orders new replicas of free servers, the model that is needed most first.
+// Before callers come servers load what they need; later free servers are staged
+// first, so that they can still be used otherwise meanwhile.
 func (s *step) form() {
-	for _, free := range []bool{true, false} {
-		for range len(s.fleet.Servers) {
-			if !s.formOne(free) {
-				break
-			}
+	for range len(s.fleet.Servers) {
+		if !s.formOne() {
+			return
 		}
 	}
 }
 
-// formOne orders the replica that is needed most, and returns whether it found
-// one. With loaded set it takes only servers that have the weights.
-func (s *step) formOne(loaded bool) bool {
-	models := s.needs()
-	for i, m := range models {
-		if !loaded && i > 0 && s.need(m) < worthLoading*s.need(models[0]) {
-			return false
-		}
-		if members := s.pick(m, loaded); members != nil {
+// formOne orders one replica, and returns whether it found one.
+func (s *step) formOne() bool {
+	for _, m := range s.needs() {
+		if members := s.pick(m); members != nil {
 			s.join(m, members)
 			return true
 		}
@@ -437,49 +514,80 @@
 	return false
 }
 
-// worthLoading is the part of the greatest need that justifies loading a model
-// that is needed less: below it the servers wait as spares of the other.
-const worthLoading = 0.6
-
 // pick returns free servers of one fabric domain for a replica of m, from the
 // domain with the fewest free ones that suffice.
-func (s *step) pick(m site.Model, loaded bool) []site.Server {
+func (s *step) pick(m site.Model) []site.Server {
 	var best []site.Server
 	room := 0
 	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
-		free := slices.Clone(s.idle[domain])
-		slices.SortStableFunc(free, func(a, b site.Server) int { return cmp.Compare(s.cost(a, m), s.cost(b, m)) })
-		if m.Size == 0 || len(free) < m.Size {
-			continue
+		free := s.capable(s.idle[domain], m)
+		if m.Size > 0 && len(free) >= m.Size && (best == nil || len(free) < room) {
+			best, room = free[:m.Size], len(free)
 		}
-		chosen := free[:m.Size]
-		loads := 0
-		for _, server := range chosen {
-			if s.cost(server, m) >= m.Load {
-				loads++
+	}
+	return best
+}
+
+// capable returns those of servers that can run m without a load, the quickest
+// first. Before callers come every server can.
+func (s *step) capable(servers []site.Server, m site.Model) []site.Server {
+	out := slices.DeleteFunc(slices.Clone(servers), func(server site.Server) bool {
+		return s.fleet.Traffic && s.cost(server, m) >= m.Load
+	})
+	slices.SortStableFunc(out, func(a, b site.Server) int { return cmp.Compare(s.cost(a, m), s.cost(b, m)) })
+	return out
+}
+
+const (
+	// worthRetiring is how many times more a replica must be needed than the one
+	// that makes room for it, so that replicas are not closed back and forth.
+	worthRetiring = 1.3
+	// retireInterval is the time between two replicas that make room: a close, a join
+	// and their way through the list.
+	retireInterval = 4 * time.Second
+)
+
+// retire closes a replica of a model that is needed less, where its servers and
+// the free ones of its fabric domain make up one of a model that is needed more.
+func (s *step) retire() {
+	p := s.planner
+	if !s.fleet.Traffic || p.retiredAt != 0 && s.now-p.retiredAt < retireInterval {
+		return
+	}
+	for _, m := range s.needs() {
+		for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
+			if r := s.replicas[name]; s.whole(r) && r.members[0].Member.State == site.Open && s.makesRoom(r, m) {
+				p.retired[name], p.retiredAt = s.now, s.now
+				head := r.members[0]
+				s.order(Order{Server: head.ID, Address: head.Address, Action: Close, Group: name, Epoch: r.epoch})
+				return
 			}
 		}
-		if loaded && loads > 0 || !s.mayLoad(loads) {
-			continue
-		}
-		if best == nil || len(free) < room {
-			best, room = chosen, len(free)
-		}
 	}
-	return best
 }
 
-// mayLoad returns whether n more loads may begin now.
-func (s *step) mayLoad(n int) bool {
-	if n == 0 {
-		return true
+// makesRoom returns whether a replica of m is worth the end of r.
+func (s *step) makesRoom(r *replica, m site.Model) bool {
+	if r.model.Name == m.Name || r.model.Size >= m.Size {
+		return false
 	}
-	p, atOnce := s.planner, s.fleet.Engine.LoadsAtOnce
-	if !s.fleet.Traffic {
-		// Twice as many as are loaded at full speed hide the lag of the list.
-		return s.now-p.since > rushAfter || len(p.loading)+n <= max(2*atOnce, n)
+	domain := r.members[0].FabricDomain
+	members := make([]site.Server, 0, len(r.members))
+	for _, server := range r.members {
+		members = append(members, server)
 	}
-	if atOnce > 0 && len(p.loading) > 0 && len(p.loading)+n > atOnce {
+	free := len(s.capable(s.idle[domain], m))
+	if free == 0 || free >= m.Size || free+len(s.capable(members, m)) < m.Size {
+		return false
+	}
+	lost := s.demand(r.model) / max(float64(s.have[r.model.Name])-0.5, 0.5)
+	return s.need(m) > worthRetiring*lost
+}
+
+// mayLoad returns whether one more load may begin now.
+func (s *step) mayLoad() bool {
+	p, atOnce := s.planner, s.fleet.Engine.LoadsAtOnce
+	if atOnce > 0 && len(p.loading) >= atOnce {
 		return false
 	}
 	p.loads = slices.DeleteFunc(p.loads, func(at time.Duration) bool { return s.now-at > s.fleet.Window })
@@ -488,14 +596,9 @@
 		// The leader before may have used up a part of the window.
 		ceiling /= 2
 	}
-	return float64(len(p.loads)+n) <= ceiling
+	return float64(len(p.loads)+1) <= ceiling
 }
 
-// rushAfter is the time from the first leader's start after which all servers load
-// at once: loads are cheap and bounded by no ceiling only until callers come, by
-// the platform's pages ten seconds after the machines start or later.
-const rushAfter = 5 * time.Second
-
 // load counts a load that server begins.
 func (s *step) load(server site.Server) {
 	s.planner.loading[server.ID] = s.now
@@ -515,7 +618,7 @@
 	s.have[m.Name]++
 	for _, server := range members {
 		if s.cost(server, m) >= m.Load {
-			s.load(server)
+			s.planner.loading[server.ID] = s.now
 		}
 		s.order(Order{
 			Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: m.Name, Members: f.members,
@@ -539,14 +642,13 @@
 		}
 	}
 	if !s.fleet.Traffic {
+		s.stageOthers()
 		return
 	}
 	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
 		for _, server := range s.idle[domain] {
-			if len(server.Staged) > 0 || !s.mayLoad(1) {
-				continue
-			}
-			if _, ok := s.planner.loading[server.ID]; ok {
+			_, loading := s.planner.loading[server.ID]
+			if len(server.Staged) > 0 || s.fleet.Last[server.ID] != "" || loading || !s.mayLoad() {
 				continue
 			}
 			m := s.spareFor(domain)
@@ -556,23 +658,42 @@
 	}
 }
 
-// spareFor returns the model that most of the free servers of domain hold, or
-// the one that is needed most.
+// stageOthers lets members that have loaded put a model that they do not run onto
+// their hosts, so that they can change over without a load. It is free only before
+// callers come. A member that rejoins its own model needs no host.
+func (s *step) stageOthers() {
+	models := s.fleet.Engine.Models
+	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
+		server := s.fleet.Servers[id]
+		if server.Member.State < site.Ready || len(models) < 2 {
+			continue
+		}
+		own := ModelOf(server.Member.Group)
+		i := slices.IndexFunc(models, func(m site.Model) bool { return m.Name != own })
+		if slices.Contains(server.Staged, own) {
+			s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: models[i].Name})
+		}
+	}
+}
+
+// spareFor returns the model for a server without weights in domain: the one whose
+// replica it completes with the free servers there, or comes closest to.
 func (s *step) spareFor(domain string) site.Model {
 	models := s.needs()
-	best, most := models[0], 0
-	for _, m := range models {
-		n := 0
-		for _, server := range s.idle[domain] {
-			if slices.Contains(server.Staged, m.Name) {
-				n++
-			}
-		}
-		if n > most {
-			best, most = m, n
+	return slices.MinFunc(models, func(a, b site.Model) int {
+		return cmp.Compare(s.missing(domain, a), s.missing(domain, b))
+	})
+}
+
+// missing returns how many servers of domain a replica of m is short of.
+func (s *step) missing(domain string, m site.Model) int {
+	loading := 0
+	for _, server := range s.idle[domain] {
+		if _, ok := s.planner.loading[server.ID]; ok {
+			loading++
 		}
 	}
-	return best
+	return max(m.Size-len(s.capable(s.idle[domain], m))-loading, 1)
 }
 
 // longestLoad returns the longest time that a load takes.
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -16,7 +16,7 @@
 	// stallAfter is how long a replica that has work may be without any event to
 	// this daemon before it counts as stalled: several passes of an engine at full
 	// load.
-	stallAfter = 700 * time.Millisecond
+	stallAfter = 500 * time.Millisecond
 	// eventTimeout is how long one stream may be silent beside others that are not,
 	// below the shortest time after which callers give up.
 	eventTimeout = 1700 * time.Millisecond
@@ -70,6 +70,8 @@
 	hadWork  bool
 	register quarantine.Register
 	crashes  []toldCrash
+	// asked is the work that callers asked of each model, in seconds of a replica.
+	asked map[string]*budget.Window
 }
 
 // seat returns the seat of target. The caller holds the lock.
@@ -168,6 +170,34 @@
 	return b.hadWork
 }
 
+// askedWindow is the time over which demand is measured: a burst shows within a
+// second, the noise of single requests does not.
+const askedWindow = 3 * time.Second
+
+// ask counts work that a caller asked of a model, in seconds of a replica.
+func (b *board) ask(now time.Duration, model string, work time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.asked == nil {
+		b.asked = make(map[string]*budget.Window)
+	}
+	if b.asked[model] == nil {
+		b.asked[model] = &budget.Window{Span: askedWindow}
+	}
+	b.asked[model].Add(now, work.Seconds())
+}
+
+// askedNow returns the work that callers ask of each model, in replicas kept busy.
+func (b *board) askedNow(now time.Duration) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]float64, len(b.asked))
+	for model, w := range b.asked {
+		out[model] = w.Sum(now) / askedWindow.Seconds()
+	}
+	return out
+}
+
 // stalled returns the targets that do not answer.
 func (b *board) stalled() []string {
 	b.mu.Lock()
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -43,7 +44,10 @@
 
 // startControl starts the actor that owns the control state.
 func (g *Gateway) startControl() {
-	g.system = actor.NewActorSystem()
+	// The library's own log lines are not JSON.
+	g.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(slog.DiscardHandler)
+	}))
 	c := &control{
 		gateway: g, out: make(map[string]bool), daemons: make(map[string]Peer), loaded: make(map[string]bool),
 		failed: make(map[string]bool), broken: make(map[string]int64), dirty: true,
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -42,6 +42,8 @@
 	// Term is the term that the daemon leads under, or the last one if it leaves;
 	// zero if there is none.
 	Term int64 `cbor:"10,keyasint"`
+	// Asked is the work that callers asked of each model, in replicas kept busy.
+	Asked map[string]float64 `cbor:"11,keyasint"`
 }
 
 // runHeartbeats sends a heartbeat at each interval, and at once when asked to.
@@ -76,7 +78,7 @@
 	loads, stalled, crashes := g.board.summary()
 	h := heartbeat{
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
-		Ready: g.ready(), Leaving: g.leaving.Load(), Loads: loads, Stalled: stalled, Crashes: crashes,
+		Ready: g.ready(), Leaving: g.leaving.Load(), Loads: loads, Stalled: stalled, Crashes: crashes, Asked: g.board.askedNow(clock.Boot()),
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
 		g.led.Store(h.Term)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -14,7 +14,7 @@
 
 const (
 	// probeTimeout bounds the wait for a server's own report: many round trips.
-	probeTimeout = 400 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between looks at the same replica.
 	probeInterval = time.Second
 	// deadProbes is the number of probes in a row that a dead server leaves
@@ -69,10 +69,12 @@
 	read    bool
 	heardAt time.Duration
 	// asking means that a call about terms is on its way, askAt when the next may be.
-	asking  bool
-	askAt   time.Duration
-	term    int64
-	planner *formation.Planner
+	asking bool
+	askAt  time.Duration
+	term   int64
+	// describeAt is when the fleet is logged next.
+	describeAt time.Duration
+	planner    *formation.Planner
 	// probing holds when each suspected replica was last looked at.
 	probing map[string]time.Duration
 	dead    map[string]deadServer
@@ -197,13 +199,13 @@
 	}
 	c.probeStalled(now)
 	f := formation.Fleet{
-		Engine: service.Engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), Out: c.out,
+		Engine: service.Engine, Servers: make(map[string]site.Server), Last: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), Out: c.out,
 		Traffic: c.trafficBegan(), Stall: c.gateway.settings.Bounds.Stall,
 		Ceiling: service.Engine.LoadsPerSecond * c.gateway.settings.Bounds.CeilingWindow.Seconds(), Window: c.gateway.settings.Bounds.CeilingWindow,
 	}
 	for _, e := range c.servers.all() {
 		if e.server.Service == service.Name && e.goneAt == 0 {
-			f.Servers[e.server.ID] = e.server
+			f.Servers[e.server.ID], f.Last[e.server.ID] = e.server, e.last
 		}
 	}
 	for id := range c.leadership.dead {
@@ -212,6 +214,32 @@
 	for _, order := range c.leadership.planner.Step(now, f) {
 		c.give(order)
 	}
+	c.describe(now, f)
+}
+
+// describeInterval is the time between two log lines about the fleet.
+const describeInterval = 2 * time.Second
+
+// describe logs the state of the fleet, a line for each fabric domain.
+func (c *control) describe(now time.Duration, f formation.Fleet) {
+	if now < c.leadership.describeAt {
+		return
+	}
+	c.leadership.describeAt = now + describeInterval
+	for _, d := range f.Domains() {
+		c.gateway.logger.Info().Str("event", "fleet").Str("fabric_domain", d.Name).Strs("replicas", d.Replicas).Strs("idle", d.Idle).Msg("")
+	}
+}
+
+// demand returns the work that callers ask of each model, at all daemons.
+func (c *control) demand() map[string]float64 {
+	sum := make(map[string]float64)
+	for _, p := range c.daemons {
+		for model, work := range p.Heartbeat.Asked {
+			sum[model] += work
+		}
+	}
+	return sum
 }
 
 // trafficBegan returns whether callers have begun to call.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
@@ -23,6 +24,8 @@
 	server    site.Server
 	offset    int64
 	coldUntil time.Duration
+	// last is the model of the last replica of its life.
+	last string
 	// goneAt is when an entry ends that lapsed while the store was away; zero if it
 	// is listed.
 	goneAt time.Duration
@@ -57,6 +60,11 @@
 	e := entry{server: s, offset: offset, coldUntil: old.coldUntil}
 	if !known || old.server.Born != s.Born {
 		e.coldUntil = now + coldFor
+	} else {
+		e.last = old.last
+	}
+	if s.Member.State != site.Unassigned {
+		e.last = formation.ModelOf(s.Member.Group)
 	}
 	if s.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+s.ColdFor)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -99,6 +99,9 @@
 		return Replica{}, &refusal{status: http.StatusBadRequest, reason: "unknown_model"}
 	}
 	b := &g.board
+	if c.sent == 0 {
+		b.ask(clock.Boot(), model.Name, dispatch.Busy(c.service.Engine, model, c.request.Work))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var (
