--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -180,7 +180,7 @@
 		if m.Rank == 0 {
 			s.remember(m.Group, server)
 		}
-		if m.State >= site.Ready {
+		if m.State >= site.Ready && !s.fleet.Traffic {
 			delete(s.planner.loading, id)
 		}
 	}
@@ -505,8 +505,14 @@
 
 // formOne orders one replica, and returns whether it found one.
 func (s *step) formOne() bool {
-	for _, m := range s.needs() {
-		if members := s.pick(m); members != nil {
+	models := s.needs()
+	for _, m := range models {
+		top := models[0]
+		if s.need(m) >= worthChanging*s.need(top) {
+			// Changing servers over to m is worth what it costs.
+			top = m
+		}
+		if members := s.pick(m, top); members != nil {
 			s.join(m, members)
 			return true
 		}
@@ -514,13 +520,24 @@
 	return false
 }
 
+// worthChanging is the part of the greatest need above which servers that could run
+// the model that is needed most are changed over to another one for good.
+const worthChanging = 0.7
+
+// changesFor returns whether server can run top now and could not after it has
+// joined a replica of m.
+func (s *step) changesFor(server site.Server, m, top site.Model) bool {
+	return m.Name != top.Name && s.cost(server, top) < top.Load && !slices.Contains(server.Staged, top.Name)
+}
+
 // pick returns free servers of one fabric domain for a replica of m, from the
-// domain with the fewest free ones that suffice.
-func (s *step) pick(m site.Model) []site.Server {
+// domain with the fewest free ones that suffice. It leaves those that would not be
+// able to run top any more.
+func (s *step) pick(m, top site.Model) []site.Server {
 	var best []site.Server
 	room := 0
 	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
-		free := s.capable(s.idle[domain], m)
+		free := slices.DeleteFunc(s.capable(s.idle[domain], m), func(server site.Server) bool { return s.changesFor(server, m, top) })
 		if m.Size > 0 && len(free) >= m.Size && (best == nil || len(free) < room) {
 			best, room = free[:m.Size], len(free)
 		}
@@ -637,7 +654,7 @@
 // domain is likely to need.
 func (s *step) stage() {
 	for id, at := range s.planner.loading {
-		if _, ok := s.fleet.Servers[id]; !ok || s.now-at > 2*longestLoad(s.fleet.Engine) || len(s.fleet.Servers[id].Staged) > 0 && !s.busy[id] {
+		if server, ok := s.fleet.Servers[id]; !ok || s.now-at > 2*longestLoad(s.fleet.Engine) || s.now-at > loadSeen && !s.onlyOne(server) {
 			delete(s.planner.loading, id)
 		}
 	}
@@ -656,8 +673,35 @@
 			s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
 		}
 	}
+	s.restage()
 }
 
+// restage lets servers that can run one model only take the other one onto their
+// hosts, beside what they do, so that they can change over later.
+func (s *step) restage() {
+	for _, idle := range []bool{true, false} {
+		for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
+			server := s.fleet.Servers[id]
+			_, loading := s.planner.loading[id]
+			if s.busy[id] == idle || loading || !s.usable(server) || len(s.planner.loading) >= max(s.fleet.Engine.LoadsAtOnce/restageShare, 1) || !s.mayLoad() {
+				continue
+			}
+			last := s.fleet.Last[id]
+			if last == "" || server.Member.State == site.Joining || !s.onlyOne(server) {
+				continue
+			}
+			if i := slices.IndexFunc(s.fleet.Engine.Models, func(m site.Model) bool { return m.Name != last }); i >= 0 {
+				s.load(server)
+				s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: s.fleet.Engine.Models[i].Name})
+			}
+		}
+	}
+}
+
+// restageShare divides the loads at once: the rest is kept for servers that have
+// nothing loaded.
+const restageShare = 2
+
 // stageOthers lets members that have loaded put a model that they do not run onto
 // their hosts, so that they can change over without a load. It is free only before
 // callers come. A member that rejoins its own model needs no host.
@@ -696,6 +740,15 @@
 	return max(m.Size-len(s.capable(s.idle[domain], m))-loading, 1)
 }
 
+// loadSeen is when an order to load shows in the list at the earliest.
+const loadSeen = 2 * time.Second
+
+// onlyOne returns whether server can run one model or none.
+func (s *step) onlyOne(server site.Server) bool {
+	last := s.fleet.Last[server.ID]
+	return len(server.Staged) == 0 || last != "" && len(s.fleet.Engine.Models) > 1 && slices.Contains(server.Staged, last)
+}
+
 // longestLoad returns the longest time that a load takes.
 func longestLoad(e *site.Engine) time.Duration {
 	longest := time.Duration(0)
