fix: a head that the list shows as ready may have been opened

Answers to orders now count beside the list, and a replica that is given up counts so before its members are looked at.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -42,7 +42,7 @@
 	sequence int64
 	since    time.Duration
 	forming  map[string]*formed
-	heads    map[string]*lostHead
+	heads    map[string]*head
 	sent     map[string]sentOrder
 	loads    []time.Duration
 	loading  map[string]time.Duration
@@ -72,14 +72,52 @@
 	failed  bool
 }
 
-// A lostHead is the head of a replica as it was last reported.
-type lostHead struct {
+// A head is what is known of the head of a replica. The list lags, and stands still
+// for a server that is cut off from it, so that answers to orders count as well.
+type head struct {
 	server site.Server
-	lostAt time.Duration
+	// lost means that its replica has missed a member since lostAt.
 	lost   bool
-	closed time.Duration
+	lostAt time.Duration
+	// absent means that nothing is at its address any more.
 	absent bool
-	opened time.Duration
+	// openedAt is when it was last ordered to open, openUnknown that there was no
+	// answer to that, and closedAt when it was last known to have stopped.
+	openedAt    time.Duration
+	openUnknown bool
+	closedAt    time.Duration
+}
+
+// closeTime is how long a head takes to stop at once.
+const closeTime = time.Second
+
+// mayServe returns whether h may be serving at now, given the state that the list
+// has of it.
+func (h *head) mayServe(now time.Duration, listed site.MemberState) bool {
+	stopped := h.closedAt > 0 && h.closedAt >= h.openedAt
+	if listed == site.Open || listed == site.Closing {
+		return !stopped || now-h.closedAt < closeTime
+	}
+	return listed == site.Ready && h.openedAt > 0 && !stopped
+}
+
+// answered takes the answer to an order to h.
+func (h *head) answered(now time.Duration, action Action, a Answer) {
+	h.absent = h.absent || a == Absent
+	switch action {
+	case Open:
+		h.openUnknown = a == Unknown
+		if a == Declined || a == Fenced {
+			h.closedAt = now
+		}
+	case Preempt:
+		// A head that declines is not open, unless it opens late.
+		late := h.openUnknown && now-h.openedAt < lateOrder
+		if a == Accepted || a == Declined && !late {
+			h.closedAt = now
+		}
+	case Join, Close, Leave, Stage:
+	}
 }
 
 // A sentOrder is the last order of one kind to one server.
@@ -100,7 +138,7 @@
 // New returns a planner for a term that begins at now. Terms rise for ever.
 func New(term int64, now time.Duration) *Planner {
 	return &Planner{
-		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*lostHead),
+		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
 		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), held: make(map[string]hold),
 		retired: make(map[string]time.Duration), grewAt: now,
 	}
@@ -115,11 +153,8 @@
 // Answered takes the answer to an order that Step returned.
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
 	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, answer: a, known: true}
-	if head, ok := p.heads[o.Group]; ok && head.server.ID == o.Server {
-		head.absent = head.absent || a == Absent
-		if a == Accepted && (o.Action == Preempt || o.Action == Close) {
-			head.closed = now
-		}
+	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
+		h.answered(now, o.Action, a)
 	}
 	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
 		f.failed = true
@@ -188,17 +223,20 @@
 
 // remember keeps what is known of a head.
 func (s *step) remember(group string, server site.Server) {
-	head, ok := s.planner.heads[group]
+	h, ok := s.planner.heads[group]
 	if !ok {
-		head = &lostHead{}
-		s.planner.heads[group] = head
+		h = &head{}
+		s.planner.heads[group] = h
 	}
-	head.server, head.lost = server, false
+	h.server = server
 }
 
 // tend looks after every replica that exists: it opens complete ones and closes
 // those that miss a member.
 func (s *step) tend() {
+	for _, f := range s.planner.forming {
+		f.failed = f.failed || s.abandoned(f)
+	}
 	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		r := s.replicas[name]
 		if s.whole(r) {
@@ -209,9 +247,6 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.planner.forming)) {
 		f := s.planner.forming[name]
-		if s.abandoned(f) {
-			f.failed = true
-		}
 		if r, ok := s.replicas[name]; ok && s.whole(r) && !f.failed {
 			continue
 		}
@@ -237,10 +272,11 @@
 func (s *step) tendWhole(r *replica) {
 	s.have[r.model.Name]++
 	ready := true
-	head := r.members[0]
+	first, h := r.members[0], s.planner.heads[r.name]
+	h.lost = false
 	if _, ok := s.planner.retired[r.name]; ok {
 		s.have[r.model.Name]--
-		if head.Member.State != site.Open && head.Member.State != site.Closing {
+		if !h.mayServe(s.now, first.Member.State) {
 			// Its members are free.
 			return
 		}
@@ -249,14 +285,14 @@
 		s.busy[server.ID] = true
 		ready = ready && server.Member.State >= site.Ready
 	}
-	if head.Member.State == site.Open {
+	if first.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
 	}
-	if !ready || head.Member.State != site.Ready {
+	if _, retired := s.planner.retired[r.name]; retired || !ready || first.Member.State != site.Ready {
 		return
 	}
-	if s.order(Order{Server: head.ID, Address: head.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
-		s.planner.heads[r.name].opened = s.now
+	if s.order(Order{Server: first.ID, Address: first.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
+		h.openedAt = s.now
 	}
 }
 
@@ -266,33 +302,29 @@
 		// Members are still on their way.
 		return
 	}
-	head, ok := r.members[0]
-	if ok && !s.fleet.Dead[head.ID] {
-		s.closeHead(r, head)
+	first, ok := r.members[0]
+	if ok && !s.fleet.Dead[first.ID] {
+		s.closeHead(r, first)
 		return
 	}
 	s.withoutHead(r)
 }
 
 // closeHead keeps the members of r busy until its head has closed.
-func (s *step) closeHead(r *replica, head site.Server) {
-	lost := s.planner.heads[r.name]
-	maybeOpen := lost.opened > 0 && s.now-lost.opened < lateOrder && head.Member.State == site.Ready && lost.closed < lost.opened
-	if head.Member.State != site.Open && head.Member.State != site.Closing && !maybeOpen {
+func (s *step) closeHead(r *replica, first site.Server) {
+	h := s.planner.heads[r.name]
+	if !h.lost {
+		h.lost, h.lostAt = true, s.now
+	}
+	if !h.mayServe(s.now, first.Member.State) {
 		return
 	}
 	s.keep(r)
 	action := Preempt
-	if s.leaving(r) {
+	if s.leaving(r) && s.now-h.lostAt <= queueTime {
 		action = Close
-		if !lost.lost {
-			lost.lost, lost.lostAt = true, s.now
-		}
-		if s.now-lost.lostAt > queueTime {
-			action = Preempt
-		}
 	}
-	s.order(Order{Server: head.ID, Address: head.Address, Action: action, Group: r.name, Epoch: r.epoch})
+	s.order(Order{Server: first.ID, Address: first.Address, Action: action, Group: r.name, Epoch: r.epoch})
 }
 
 // leaving returns whether all members of r live and some of them are to go.
@@ -312,20 +344,20 @@
 // more: it is gone, has a new life, or has been without its members for longer
 // than it may stand still.
 func (s *step) withoutHead(r *replica) {
-	lost, ok := s.planner.heads[r.name]
+	h, ok := s.planner.heads[r.name]
 	if !ok {
-		lost = &lostHead{}
-		s.planner.heads[r.name] = lost
+		h = &head{}
+		s.planner.heads[r.name] = h
 	}
-	if !lost.lost {
-		lost.lost, lost.lostAt = true, s.now
+	if !h.lost {
+		h.lost, h.lostAt = true, s.now
 	}
 	if s.surelyClosed(r.name) {
 		return
 	}
 	s.keep(r)
 	for _, server := range r.members {
-		if s.fleet.Dead[server.ID] || server.ID == lost.server.ID {
+		if s.fleet.Dead[server.ID] || server.ID == h.server.ID {
 			continue
 		}
 		if _, ok := s.planner.held[server.ID]; !ok {
@@ -342,13 +374,13 @@
 // surelyClosed returns whether the head of group cannot serve any more: it is
 // gone, has a new life or another replica, or said that it closed.
 func (s *step) surelyClosed(group string) bool {
-	lost, ok := s.planner.heads[group]
+	h, ok := s.planner.heads[group]
 	if !ok {
 		return false
 	}
-	listed, ok := s.fleet.Servers[lost.server.ID]
-	reborn := ok && lost.server.ID != "" && (listed.Born != lost.server.Born || listed.Member.Group != group)
-	return lost.absent || reborn || lost.closed > 0 && s.now-lost.closed > time.Second
+	listed, ok := s.fleet.Servers[h.server.ID]
+	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || listed.Member.Group != group)
+	return h.absent || reborn || h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
 }
 
 // tendHeld asks heads that cannot be reached to close, and lets go of the servers
@@ -362,9 +394,9 @@
 			continue
 		}
 		s.busy[id] = true
-		if lost, ok := s.planner.heads[h.group]; ok && lost.server.ID != "" {
+		if first, ok := s.planner.heads[h.group]; ok && first.server.ID != "" {
 			s.order(Order{
-				Server: lost.server.ID, Address: lost.server.Address, Action: Preempt, Group: h.group, Epoch: lost.server.Member.Epoch,
+				Server: first.server.ID, Address: first.server.Address, Action: Preempt, Group: h.group, Epoch: first.server.Member.Epoch,
 			})
 		}
 	}
