fix: a replica that makes room is known to have closed by the list

Cause: only the answer to a stop at once counted as a close, so that replicas closed to make room kept their servers for nothing.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -228,6 +228,10 @@
 		h = &head{}
 		s.planner.heads[group] = h
 	}
+	if was := h.server.Member.State; ok && (was == site.Open || was == site.Closing) && server.Member.State <= site.Ready {
+		// The list has moved on from open, so that this is news of a close.
+		h.closedAt = s.now
+	}
 	h.server = server
 }
 
@@ -274,6 +278,10 @@
 	ready := true
 	first, h := r.members[0], s.planner.heads[r.name]
 	h.lost = false
+	if at, ok := s.planner.retired[r.name]; ok && s.now-at > retireInterval && !h.mayServe(s.now, first.Member.State) {
+		// Nothing came of the room that it made.
+		delete(s.planner.retired, r.name)
+	}
 	if _, ok := s.planner.retired[r.name]; ok {
 		s.have[r.model.Name]--
 		if !h.mayServe(s.now, first.Member.State) {
--- /dev/null
+++ b/coordination/formation/planner_test.go
@@ -0,0 +1,309 @@
+package formation_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// engine is an engine like those of today's deployments.
+var engine = &site.Engine{
+	Slots: 26, LoadsAtOnce: 6, LoadsPerSecond: 4,
+	Models: []site.Model{
+		{Name: "large", Size: 4, Pace: 1, Share: 0.67, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+		{Name: "small", Size: 2, Pace: 0.6, Share: 0.33, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+	},
+}
+
+// A bench is a few servers that carry orders out at once, and a planner. The list
+// stands still for the servers in cut; those in dark do not answer.
+type bench struct {
+	t       *testing.T
+	now     time.Duration
+	planner *formation.Planner
+	fleet   formation.Fleet
+	actual  map[string]site.Server
+	members map[string][]string
+	cut     map[string]bool
+	dark    map[string]bool
+	given   []formation.Order
+	joined  map[string]time.Duration
+}
+
+// newBench returns a bench with domains of size servers each.
+func newBench(t *testing.T, domains, size int) *bench {
+	b := &bench{
+		t: t, planner: formation.New(1, 0), actual: make(map[string]site.Server), members: make(map[string][]string),
+		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration),
+		fleet: formation.Fleet{
+			Engine: engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), Out: make(map[string]bool),
+			Last: make(map[string]string), Stall: 6 * time.Second, Ceiling: 20, Window: 5 * time.Second,
+		},
+	}
+	for d := range domains {
+		for n := range size {
+			b.add(fmt.Sprintf("s%d-%d", d, n), fmt.Sprintf("d%d", d))
+		}
+	}
+	return b
+}
+
+// add adds an empty server.
+func (b *bench) add(id, domain string) {
+	s := site.Server{ID: id, Address: id, FailureDomain: "zone", FabricDomain: domain, Born: 1}
+	b.actual[id], b.fleet.Servers[id] = s, s
+}
+
+// lose takes a server away for good; the list drops it.
+func (b *bench) lose(id string) {
+	b.dark[id] = true
+	delete(b.actual, id)
+	delete(b.fleet.Servers, id)
+}
+
+// run lets time pass.
+func (b *bench) run(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := b.now + d; b.now < end; b.now += step {
+		b.load()
+		for _, o := range b.planner.Step(b.now, b.fleet) {
+			b.given = append(b.given, o)
+			b.planner.Answered(b.now, o, b.carryOut(o))
+		}
+		b.list()
+	}
+}
+
+// load makes members ready that have loaded.
+func (b *bench) load() {
+	for id, at := range b.joined {
+		if s, ok := b.actual[id]; ok && b.now >= at && s.Member.State == site.Joining {
+			s.Member.State = site.Ready
+			s.Staged = []string{formation.ModelOf(s.Member.Group)}
+			b.actual[id] = s
+		}
+	}
+}
+
+// list shows the list what servers report.
+func (b *bench) list() {
+	for id, s := range b.actual {
+		if b.cut[id] {
+			continue
+		}
+		b.fleet.Servers[id] = s
+		if s.Member.State != site.Unassigned {
+			b.fleet.Last[id] = formation.ModelOf(s.Member.Group)
+		}
+	}
+}
+
+// carryOut lets a server carry an order out, and checks what must hold then.
+func (b *bench) carryOut(o formation.Order) formation.Answer {
+	s, ok := b.actual[o.Server]
+	if !ok || b.dark[o.Server] {
+		return formation.Unknown
+	}
+	switch o.Action {
+	case formation.Join:
+		b.checkJoin(s, o)
+		s.Member = site.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Server), State: site.Joining}
+		b.members[o.Group] = o.Members
+		b.joined[o.Server] = b.now + 200*time.Millisecond
+	case formation.Open:
+		b.checkOpen(o)
+		s.Member.State = site.Open
+	case formation.Close, formation.Preempt:
+		if s.Member.Group != o.Group || s.Member.State != site.Open {
+			return formation.Declined
+		}
+		s.Member.State = site.Ready
+	case formation.Leave:
+		s.Member = site.Membership{}
+	case formation.Stage:
+		s.Staged = []string{o.Model}
+	}
+	b.actual[o.Server] = s
+	return formation.Accepted
+}
+
+// checkJoin checks that the head of the replica that s is in does not serve.
+func (b *bench) checkJoin(s site.Server, o formation.Order) {
+	if s.Member.State == site.Unassigned || s.Member.Group == o.Group {
+		return
+	}
+	head := b.actual[b.members[s.Member.Group][0]]
+	require.False(b.t, head.Member.Group == s.Member.Group && head.Member.State == site.Open,
+		"at %v %s joins %s while %s is open", b.now, s.ID, o.Group, s.Member.Group)
+}
+
+// checkOpen checks that every member of a replica is ready when it opens.
+func (b *bench) checkOpen(o formation.Order) {
+	for _, id := range b.members[o.Group] {
+		m := b.actual[id].Member
+		require.True(b.t, m.Group == o.Group && m.State >= site.Ready, "at %v %s opens without %s", b.now, o.Group, id)
+	}
+}
+
+// open returns the number of replicas that serve, by model.
+func (b *bench) open() map[string]int {
+	out := make(map[string]int)
+	for _, s := range b.actual {
+		if s.Member.State == site.Open {
+			out[formation.ModelOf(s.Member.Group)]++
+		}
+	}
+	return out
+}
+
+// head returns the head of a replica of model that serves, and its other members.
+func (b *bench) head(model string) (string, []string) {
+	for _, id := range slices.Sorted(maps(b.actual)) {
+		if m := b.actual[id].Member; m.State == site.Open && formation.ModelOf(m.Group) == model {
+			return id, b.members[m.Group][1:]
+		}
+	}
+	require.Fail(b.t, "no replica of "+model)
+	return "", nil
+}
+
+// maps yields the keys of m.
+func maps(m map[string]site.Server) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func ExamplePlanner() {
+	planner := formation.New(7, 0)
+	fleet := formation.Fleet{Engine: engine, Servers: map[string]site.Server{
+		"a": {ID: "a", FabricDomain: "rack"}, "b": {ID: "b", FabricDomain: "rack"},
+	}}
+	planner.Step(0, fleet)
+	for _, o := range planner.Step(3*time.Second, fleet) {
+		fmt.Println(o.Action, o.Server, o.Group, o.Epoch, o.Members)
+	}
+	// Output:
+	// join a small/7/1 7000001 [a b]
+	// join b small/7/1 7000001 [a b]
+}
+
+func TestAllServersServeBeforeCallersCome(t *testing.T) {
+	b := newBench(t, 6, 8)
+	b.run(8 * time.Second)
+	require.Equal(t, map[string]int{"large": 8, "small": 8}, b.open())
+	for id, s := range b.actual {
+		require.NotContains(t, s.Staged, formation.ModelOf(s.Member.Group), "server %s holds the model that it does not run", id)
+	}
+}
+
+func TestLostMember(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		model string
+		head  bool
+		want  int
+	}{
+		{"member_of_large", "large", false, 16},
+		{"head_of_large", "large", true, 16},
+		{"member_of_small", "small", false, 15},
+		{"head_of_small", "small", true, 15},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t, 6, 8)
+			b.run(8 * time.Second)
+			b.fleet.Traffic = true
+			head, others := b.head(tc.model)
+			if lost := others[0]; tc.head {
+				b.lose(head)
+			} else {
+				b.lose(lost)
+			}
+			b.run(12 * time.Second)
+			open := b.open()
+			require.GreaterOrEqual(t, open["large"]+open["small"], tc.want-1, "the survivors serve again")
+		})
+	}
+}
+
+// TestOpenedHeadThatTheListShowsReady is seed 646567285861 of scale-1: a head that
+// the list stands still for was opened, then lost a member.
+func TestOpenedHeadThatTheListShowsReady(t *testing.T) {
+	b := newBench(t, 1, 3)
+	b.cut["s0-0"] = true
+	b.fleet.Traffic = true
+	for id, s := range b.actual {
+		s.Staged = []string{"small"}
+		b.actual[id], b.fleet.Servers[id] = s, s
+	}
+	b.run(time.Second)
+	s := b.actual["s0-0"]
+	s.Member.State = site.Ready
+	b.fleet.Servers["s0-0"] = s
+	b.run(2 * time.Second)
+	require.Equal(t, map[string]int{"small": 1}, b.open())
+	b.lose("s0-1")
+	b.run(3 * time.Second)
+	delete(b.cut, "s0-0")
+	b.run(15 * time.Second)
+	require.Equal(t, map[string]int{"small": 1}, b.open())
+}
+
+// TestHeadOutOfReach keeps the servers of a replica free of others until its head,
+// which may still serve, must have broken.
+func TestHeadOutOfReach(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	head, others := b.head("large")
+	b.dark[head] = true
+	delete(b.fleet.Servers, head)
+	b.cut[head] = true
+	before := len(b.given)
+	b.run(b.fleet.Stall)
+	for _, o := range b.given[before:] {
+		require.False(t, o.Action == formation.Join && slices.Contains(others, o.Server), "%s joins while its head may be open", o.Server)
+	}
+	b.actual[head] = site.Server{ID: head}
+	b.run(10 * time.Second)
+	require.NotEmpty(t, b.open(), "the others serve again")
+}
+
+func TestServersOfDomainsThatAreOutAreLeftAlone(t *testing.T) {
+	b := newBench(t, 2, 4)
+	b.fleet.Out["zone"] = true
+	b.run(8 * time.Second)
+	require.Empty(t, b.given)
+}
+
+// TestScarceModel is the pattern of scale-1: as servers are lost one by one, the
+// small model must not use up those that the large one needs.
+func TestScarceModel(t *testing.T) {
+	b := newBench(t, 6, 8)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	b.fleet.Demand = map[string]float64{"large": 4.7, "small": 5.2}
+	for n := range 9 {
+		head, others := b.head([]string{"large", "large", "small"}[n%3])
+		if n%2 == 0 {
+			b.lose(head)
+		} else {
+			b.lose(others[0])
+		}
+		b.run(3 * time.Second)
+	}
+	b.run(15 * time.Second)
+	open := b.open()
+	require.GreaterOrEqual(t, open["large"], 5)
+	require.GreaterOrEqual(t, open["small"], 5)
+}
