--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -32,11 +32,12 @@
 
 // A Candidate is one replica that may run a request. Slowness is how much slower
 // than published it has shown itself, 1 if not. Far means that it is in another
-// failure domain.
+// failure domain. Silent is the time since its last event, if it writes.
 type Candidate struct {
 	Load     Load
 	Slowness float64
 	Far      bool
+	Silent   time.Duration
 }
 
 // usualAnswer stands for the length of answers where a request does not tell, in
@@ -58,9 +59,28 @@
 	if over := c.Load.Writing + c.Load.Waiting + 1 - e.Slots; over > 0 && e.Slots > 0 {
 		total += float64(over) / float64(e.Slots) * float64(duration(e, e.Slots))
 	}
+	if late := c.Silent - time.Duration(longestSilence*float64(longestPass(e, m))); late > 0 {
+		// It may have stalled: the longer it is silent, the less is expected of it.
+		total += doubt * float64(late)
+	}
 	return time.Duration(total * factor)
 }
 
+const (
+	// longestSilence is the number of passes of a full batch that a replica which
+	// writes may be without an event before it is doubted: one may be held up by the
+	// network or by a prompt.
+	longestSilence = 1.5
+	// doubt is how much later a first token is expected for each unit of silence.
+	doubt = 3
+)
+
+// longestPass returns the time of the longest pass of a replica of m.
+func longestPass(e *site.Engine, m site.Model) time.Duration {
+	reading := float64(e.Chunk) / max(e.ReadPerSecond, 1) * float64(time.Second)
+	return time.Duration((reading + float64(pass(e, e.Slots))) * m.Pace)
+}
+
 // usualBatch is the number of requests that a replica is taken to run at once where
 // work is compared: half of what the engines of today's deployments run.
 const usualBatch = 13
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -25,9 +25,9 @@
 	suspectFor = 5 * time.Second
 	// watchInterval is the time between looks at the attempts in flight.
 	watchInterval = 100 * time.Millisecond
-	// crashesKept bounds the crashes that a heartbeat tells of.
+	// crashesKept bounds the crashes that a status tells of.
 	crashesKept = 8
-	// crashesTold is how long a heartbeat tells of a crash.
+	// crashesTold is how long a status tells of a crash.
 	crashesTold = 10 * time.Second
 	// convictedFor is how long a request that crashes servers is refused.
 	convictedFor = time.Minute
@@ -38,7 +38,9 @@
 
 // An attempt is one request on its way at a server.
 type attempt struct {
-	target      string
+	target string
+	// epoch names the replica to peers; zero for servers of plain services.
+	epoch       int64
 	work        dispatch.Work
 	fingerprint quarantine.Fingerprint
 	sentAt      time.Time
@@ -49,13 +51,14 @@
 
 // A seat is what is known first-hand of one replica or plain server.
 type seat struct {
+	epoch        int64
 	attempts     map[*attempt]struct{}
 	lastEvent    time.Time
 	suspectUntil time.Time
 	cold         budget.Bucket
 }
 
-// A toldCrash is a crash that heartbeats tell of.
+// A toldCrash is a crash that statuses tell of.
 type toldCrash struct {
 	crash quarantine.Crash
 	at    time.Time
@@ -70,6 +73,7 @@
 	hadWork  bool
 	register quarantine.Register
 	crashes  []toldCrash
+	peers    map[string]heardStatus
 	// asked is the work that callers asked of each model, in seconds of a replica.
 	asked map[string]*budget.Window
 }
@@ -111,6 +115,7 @@
 		s.lastEvent = a.sentAt
 	}
 	s.attempts[a] = struct{}{}
+	s.epoch = a.epoch
 	b.hadWork = true
 }
 
@@ -213,26 +218,26 @@
 	return out
 }
 
-// summary returns what heartbeats tell of the board, and forgets seats without
-// work.
-func (b *board) summary() (map[string]dispatch.Load, []string, []quarantine.Crash) {
-	stalled := b.stalled()
+// forget drops the seats that have had no work for a while.
+func (b *board) forget(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	loads, now := make(map[string]dispatch.Load), time.Now()
 	for target, s := range b.seats {
-		if len(s.attempts) > 0 {
-			loads[target] = s.load()
-		} else if now.Sub(s.lastEvent) > time.Minute && !now.Before(s.suspectUntil) {
+		if len(s.attempts) == 0 && now.Sub(s.lastEvent) > time.Minute && !now.Before(s.suspectUntil) {
 			delete(b.seats, target)
 		}
 	}
+}
+
+// lateCrashes returns the latest crashes, to tell peers of. The caller holds the
+// lock.
+func (b *board) lateCrashes(now time.Time) []quarantine.Crash {
 	b.crashes = slices.DeleteFunc(b.crashes, func(c toldCrash) bool { return now.Sub(c.at) > crashesTold })
 	var crashes []quarantine.Crash
 	for _, c := range b.crashes[max(0, len(b.crashes)-crashesKept):] {
 		crashes = append(crashes, c.crash)
 	}
-	return loads, stalled, crashes
+	return crashes
 }
 
 // crashed notes that a server crashed under a.
@@ -255,7 +260,10 @@
 }
 
 // convicted takes crashes that another daemon saw.
-func (b *board) convicted(_ time.Duration, crashes []quarantine.Crash) {
+func (b *board) convicted(crashes []quarantine.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.seat("")
@@ -292,13 +300,17 @@
 }
 
 // watch ends the attempts that have been silent for too long, and returns the
-// targets that it found stalled.
+// targets that it found stalled: those that were silent to all daemons that have
+// work there.
 func (b *board) watch(now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var stalled []string
 	for target, s := range b.seats {
-		silent := len(s.attempts) > 0 && now.Sub(s.lastEvent) > stallAfter
+		if len(s.attempts) == 0 {
+			continue
+		}
+		silent := min(now.Sub(s.lastEvent), b.elsewhere(s.epoch, now).silent) > stallAfter
 		if silent && !now.Before(s.suspectUntil) {
 			stalled = append(stalled, target)
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,7 +10,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -271,10 +270,8 @@
 		if h.Incarnation != c.gateway.incarnation {
 			c.leadership.candidate.Heard(now, h.Term, h.Leaving)
 		}
-		c.gateway.board.convicted(now, h.Crashes)
 		c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now}
-		c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready || len(h.Loads) > 0 || len(old.Heartbeat.Loads) > 0
-		c.suspect(now, h.Stalled)
+		c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready
 	}
 	c.leadership.heardAt = m.sentAt
 }
@@ -306,7 +303,7 @@
 	c.dirty = false
 	v := &View{
 		Configuration: c.configuration, Out: c.out, Replicas: make(map[string][]Replica), Plain: make(map[string][]site.Server),
-		Others: make(map[string]dispatch.Load), Daemons: 1, Ready: c.canServe(),
+		Peers: make(map[string]heartbeat), Daemons: 1, Ready: c.canServe(),
 	}
 	c.publishDaemons(v)
 	if c.configuration != nil {
@@ -335,9 +332,7 @@
 			continue
 		}
 		v.Daemons++
-		for name, load := range h.Loads {
-			v.Others[name] = v.Others[name].Add(load)
-		}
+		v.Peers[h.Incarnation] = h
 	}
 	if v.Ready {
 		v.Addresses = append(v.Addresses, c.gateway.settings.Front)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -56,6 +56,11 @@
 	ran  int
 	// why is the reason of the last attempt that failed.
 	why string
+	// first is the time to the first event of a stream, pause the longest one
+	// between two, and servers names where it ran.
+	first   time.Duration
+	pause   time.Duration
+	servers []string
 }
 
 // A refusal is an answer of the daemon's own.
@@ -202,6 +207,12 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name).Str("organisation", c.organisation.Name)
 	}
+	if c.first > 0 {
+		line = line.Dur("first", c.first).Dur("pause", c.pause)
+	}
+	if len(c.servers) > 0 {
+		line = line.Strs("servers", c.servers)
+	}
 	if c.why != "" {
 		line = line.Str("why", c.why)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
+	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
 
@@ -31,10 +32,14 @@
 	monitor     *invariant.Monitor
 	metrics     *metrics
 
-	store   *platform.Store
-	engines *platform.Engines
-	kept    *http.Transport
-	fresh   *http.Transport
+	store      *platform.Store
+	engines    *platform.Engines
+	links      *link.Counters
+	peerClient *http.Client
+	// secret is what peers must carry to send statuses to this daemon.
+	secret string
+	kept   *http.Transport
+	fresh  *http.Transport
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -66,6 +71,9 @@
 		logger:      logger,
 		tracer:      tracer,
 		metrics:     newMetrics(),
+		links:       new(link.Counters),
+		peerClient:  &http.Client{Transport: newTransport(false)},
+		secret:      uuid.NewString(),
 		kept:        newTransport(false),
 		fresh:       newTransport(true),
 		retries:     make(map[string]*budget.Retries),
@@ -178,6 +186,7 @@
 	g.tasks.Go(ctx, "daemons", g.followDaemons)
 	g.tasks.Go(ctx, "heartbeats", g.runHeartbeats)
 	g.tasks.Go(ctx, "watch", g.runWatch)
+	g.tasks.Go(ctx, "peers", g.runPeers)
 }
 
 // sleep waits for d or the end of ctx.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -6,8 +6,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
-	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
@@ -33,12 +31,11 @@
 	Zone        string `cbor:"4,keyasint"`
 	Ready       bool   `cbor:"5,keyasint"`
 	Leaving     bool   `cbor:"6,keyasint"`
-	// Loads is the work that the daemon has at each replica.
-	Loads map[string]dispatch.Load `cbor:"7,keyasint"`
-	// Stalled names the replicas that do not answer the daemon.
-	Stalled []string `cbor:"8,keyasint"`
-	// Crashes are the latest crashes of servers under its requests.
-	Crashes []quarantine.Crash `cbor:"9,keyasint"`
+	// Peer is where the daemon takes statuses, Secret what they must carry.
+	Peer   string `cbor:"7,keyasint"`
+	Secret string `cbor:"8,keyasint"`
+	// Traffic means that callers have begun to call.
+	Traffic bool `cbor:"9,keyasint"`
 	// Term is the term that the daemon leads under, or the last one if it leaves;
 	// zero if there is none.
 	Term int64 `cbor:"10,keyasint"`
@@ -75,10 +72,10 @@
 
 // sendHeartbeat writes the heartbeat of this daemon to the store.
 func (g *Gateway) sendHeartbeat(ctx context.Context) {
-	loads, stalled, crashes := g.board.summary()
+	g.board.forget(time.Now())
 	h := heartbeat{
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
-		Ready: g.ready(), Leaving: g.leaving.Load(), Loads: loads, Stalled: stalled, Crashes: crashes, Asked: g.board.askedNow(clock.Boot()),
+		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, Traffic: g.board.began(), Asked: g.board.askedNow(clock.Boot()),
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
 		g.led.Store(h.Term)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -250,10 +250,10 @@
 	return c.traffic
 }
 
-// othersBegan returns whether another daemon has work.
+// othersBegan returns whether another daemon has had work.
 func (c *control) othersBegan() bool {
 	for _, p := range c.daemons {
-		if len(p.Heartbeat.Loads) > 0 {
+		if p.Heartbeat.Traffic {
 			return true
 		}
 	}
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -42,6 +42,7 @@
 		{"ready", g.settings.Ready, g.readyHandler()},
 		{"directory", g.settings.Directory, g.directoryHandler()},
 		{"metrics", g.settings.Metrics, g.metricsHandler()},
+		{"peers", g.settings.Peer, g.peerHandler()},
 	} {
 		if s.address == "" {
 			continue
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -42,6 +42,7 @@
 			return
 		}
 		tried = append(tried, server.ID)
+		c.servers = append(c.servers, server.ID)
 		answer, s, err := g.sendPlain(ctx, c, server)
 		if s != notRun {
 			c.ran++
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,7 @@
 	// begun means that the caller has the headers of the answer.
 	begun     bool
 	lastEvent string
+	lastAt    time.Time
 	tried     []string
 }
 
@@ -42,6 +43,7 @@
 			return
 		}
 		s.tried = append(s.tried, replica.Name)
+		c.servers = append(c.servers, replica.Name)
 		ended, err := g.tryReplica(ctx, s, replica)
 		if err == nil {
 			g.board.acquit(c.fingerprint)
@@ -114,9 +116,11 @@
 		if slices.Contains(s.tried, r.Name) || now.Before(seat.suspectUntil) || !g.mayBear(seat, r, view.Daemons, false) {
 			continue
 		}
+		other := b.elsewhere(r.Epoch, now)
 		replicas = append(replicas, r)
 		candidates = append(candidates, dispatch.Candidate{
-			Load: seat.load().Add(view.Others[r.Name]), Far: r.Head.FailureDomain != g.settings.FailureDomain,
+			Load: seat.load().Add(other.load), Far: r.Head.FailureDomain != g.settings.FailureDomain,
+			Silent: silence(seat, other, now),
 		})
 	}
 	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, rand.IntN)
@@ -131,6 +135,19 @@
 	return replicas[i], nil
 }
 
+// silence returns how long a replica that writes has been without an event, zero
+// if it has nothing to write.
+func silence(s *seat, other elsewhere, now time.Time) time.Duration {
+	silent := other.silent
+	if s.load().Writing > 0 {
+		silent = min(silent, now.Sub(s.lastEvent))
+	}
+	if silent == noEvent {
+		return 0
+	}
+	return silent
+}
+
 // lateShare is the part of the time that a caller has left within which a request
 // that has come back is still taken: an answer that is late is worth something,
 // and the stream itself needs the rest.
@@ -184,7 +201,7 @@
 	defer cancel(nil)
 	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
 	defer span.End()
-	a := &attempt{target: replica.Name, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), cancel: cancel}
+	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), cancel: cancel}
 	a.lastEvent = a.sentAt
 	g.checkNewWork(replica)
 	g.board.add(a)
@@ -301,6 +318,7 @@
 	} else {
 		g.metrics.pause.observe(pause)
 	}
+	s.time()
 	s.begin(resp)
 	if _, err := s.w.Write(events); err != nil {
 		return fmt.Errorf("write to the caller: %w", err)
@@ -314,6 +332,17 @@
 	return nil
 }
 
+// time notes how long the caller waited for the events that it gets now.
+func (s *stream) time() {
+	now := time.Now()
+	if s.lastAt.IsZero() {
+		s.call.first = now.Sub(s.call.arrived)
+	} else {
+		s.call.pause = max(s.call.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 // begin sends the headers of the answer, once.
 func (s *stream) begin(resp *http.Response) {
 	if s.begun {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -37,8 +36,8 @@
 	Addresses []string
 	// Daemons is the number of daemons that may be sending, at least 1.
 	Daemons int
-	// Others is the work that other daemons have at each replica.
-	Others map[string]dispatch.Load
+	// Peers holds the other daemons, by incarnation.
+	Peers map[string]heartbeat
 	// Ready means that this daemon can serve.
 	Ready bool
 }
--- a/state/site/daemon.go
+++ b/state/site/daemon.go
@@ -14,6 +14,8 @@
 	Control   string
 	Directory string
 	Metrics   string
+	// Peer takes messages of other daemons.
+	Peer string
 	// Store is the address of the platform's store.
 	Store    string
 	Limits   ProcessLimits
