feat: hubs read the store for all daemons; heads that answer no hub are dead

Three daemons, or one in 14, now read and pass on what is new, with its age proved by an echo; the others read themselves only when no hub answers.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -79,6 +79,8 @@
 	// lost means that its replica has missed a member since lostAt.
 	lost   bool
 	lostAt time.Duration
+	// unlisted means that it is not listed although its members are.
+	unlisted bool
 	// absent means that nothing is at its address any more.
 	absent bool
 	// openedAt is when it was last ordered to open, openUnknown that there was no
@@ -232,7 +234,7 @@
 		// The list has moved on from open, so that this is news of a close.
 		h.closedAt = s.now
 	}
-	h.server = server
+	h.server, h.unlisted = server, false
 }
 
 // tend looks after every replica that exists: it opens complete ones and closes
@@ -360,10 +362,14 @@
 	if !h.lost {
 		h.lost, h.lostAt = true, s.now
 	}
+	h.unlisted = h.server.ID != "" && !s.fleet.Dead[h.server.ID]
 	if s.surelyClosed(r.name) {
 		return
 	}
 	s.keep(r)
+	if s.now-h.lostAt < lookFirst {
+		return
+	}
 	for _, server := range r.members {
 		if s.fleet.Dead[server.ID] || server.ID == h.server.ID {
 			continue
@@ -375,6 +381,10 @@
 	}
 }
 
+// lookFirst is how long whoever leads has to find out whether a head that is not
+// listed lives, before its members are told to leave it.
+const lookFirst = 800 * time.Millisecond
+
 // holdMargin is added to the time after which a head without members is broken:
 // for the way of the orders to leave.
 const holdMargin = time.Second
@@ -388,7 +398,27 @@
 	}
 	listed, ok := s.fleet.Servers[h.server.ID]
 	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || listed.Member.Group != group)
-	return h.absent || reborn || h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
+	return h.absent || reborn || s.fleet.Dead[h.server.ID] || h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
+}
+
+// Unlisted returns the heads that servers are held for: whoever leads finds out
+// whether they live.
+func (p *Planner) Unlisted() []site.Server {
+	var out []site.Server
+	seen := make(map[string]bool)
+	for _, group := range slices.Sorted(maps.Keys(p.heads)) {
+		if h := p.heads[group]; h.lost && h.unlisted && !seen[h.server.ID] {
+			seen[h.server.ID] = true
+			out = append(out, h.server)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.held)) {
+		if h, ok := p.heads[p.held[id].group]; ok && h.server.ID != "" && !seen[h.server.ID] {
+			seen[h.server.ID] = true
+			out = append(out, h.server)
+		}
+	}
+	return out
 }
 
 // tendHeld asks heads that cannot be reached to close, and lets go of the servers
@@ -468,7 +498,7 @@
 	// settleTime is how long no server must have come: twice the lag of the list.
 	settleTime = 1500 * time.Millisecond
 	// longestSettle bounds the wait, so that replicas are formed before callers come.
-	longestSettle = 3 * time.Second
+	longestSettle = 4 * time.Second
 )
 
 // gather lists the servers that are free, by their fabric domain.
--- /dev/null
+++ b/coordination/relay/hubs.go
@@ -0,0 +1,37 @@
+// Package relay decides which daemons read the platform's store for all others,
+// and keeps what they pass on: the newest records of each topic and the sums of
+// what daemons tell of their work.
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fewestHubs is the least number of hubs: two may be lost at once, as the
+	// platform's pages ask of small deployments.
+	fewestHubs = 3
+	// perHub is the number of daemons that one more hub is added for: it sends each
+	// a few messages a second.
+	perHub = 14
+)
+
+// Hubs returns the daemons of members that read for all, the same at every daemon
+// that knows the same members.
+func Hubs(members []string) []string {
+	ranked := slices.SortedFunc(slices.Values(members), func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(b), xxhash.Sum64String(a)), cmp.Compare(a, b))
+	})
+	return ranked[:min(len(ranked), max(fewestHubs, (len(members)+perHub-1)/perHub))]
+}
+
+// Order returns hubs in the order in which self turns to them, so that daemons
+// spread over all.
+func Order(self string, hubs []string) []string {
+	return slices.SortedFunc(slices.Values(hubs), func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(self+"\x00"+b), xxhash.Sum64String(self+"\x00"+a))
+	})
+}
--- /dev/null
+++ b/coordination/relay/topic.go
@@ -0,0 +1,123 @@
+package relay
+
+import "time"
+
+// kept is the number of latest records of a topic that are kept to be passed on one
+// by one: several seconds of a busy list of servers.
+const kept = 2048
+
+// A Record is one record of a keyed topic. One without a value drops its key.
+type Record struct {
+	_      struct{} `cbor:",toarray"`
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// A News is what is new of a topic since an offset. Whole news hold the newest
+// record of every key. End is the offset after the last record, and ReadAt when the
+// read was sent that brought the latest of it.
+type News struct {
+	Records []Record
+	Whole   bool
+	End     int64
+	ReadAt  time.Duration
+}
+
+// A Topic keeps what a daemon has read of one topic. The zero Topic has read
+// nothing. It is not safe for concurrent use.
+type Topic struct {
+	newest map[string]Record
+	tail   []Record
+	first  int64
+	end    int64
+	readAt time.Duration
+	known  bool
+}
+
+// Take takes records that a read sent at readAt brought.
+func (t *Topic) Take(n News) {
+	if n.Whole || t.newest == nil {
+		t.newest = make(map[string]Record)
+		t.tail, t.first = nil, n.End
+	}
+	for _, r := range n.Records {
+		t.put(r, !n.Whole)
+	}
+	t.known = t.known || n.Whole
+	t.end = max(t.end, n.End)
+	t.readAt = max(t.readAt, n.ReadAt)
+}
+
+// put takes one record; tail means that it follows those before.
+func (t *Topic) put(r Record, tail bool) {
+	if old, ok := t.newest[r.Key]; !ok || r.Offset >= old.Offset {
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		} else {
+			t.newest[r.Key] = r
+		}
+	}
+	if !tail || r.Offset < t.end {
+		return
+	}
+	t.tail = append(t.tail, r)
+	t.end = r.Offset + 1
+	if len(t.tail) > kept {
+		t.first = t.tail[len(t.tail)-kept/2-1].Offset + 1
+		t.tail = append([]Record(nil), t.tail[len(t.tail)-kept/2:]...)
+	}
+}
+
+// End returns the offset from which on news are wanted, -1 while nothing is known.
+func (t *Topic) End() int64 {
+	if !t.known {
+		return -1
+	}
+	return t.end
+}
+
+// ReadAt returns when the read was sent that brought the latest news.
+func (t *Topic) ReadAt() time.Duration { return t.readAt }
+
+// New returns the part of n that t does not know yet, and whether n is newer in
+// anything than t.
+func (t *Topic) New(n News) (News, bool) {
+	switch {
+	case n.Whole && t.known && n.End < t.end:
+		return n, false
+	case n.Whole:
+		return n, true
+	case !t.known:
+		return n, false
+	}
+	out := News{End: n.End, ReadAt: n.ReadAt}
+	for _, r := range n.Records {
+		if r.Offset >= t.end {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out, n.ReadAt > t.readAt || n.End > t.end
+}
+
+// Since returns the news since offset: all that is newest if the records from there
+// on are not kept. It returns false while nothing is known.
+func (t *Topic) Since(offset int64) (News, bool) {
+	n := News{End: t.end, ReadAt: t.readAt}
+	if !t.known {
+		return n, false
+	}
+	if offset < t.first || offset > t.end {
+		n.Whole = true
+		for _, r := range t.newest {
+			n.Records = append(n.Records, r)
+		}
+		return n, true
+	}
+	for _, r := range t.tail {
+		if r.Offset >= offset {
+			n.Records = append(n.Records, r)
+		}
+	}
+	return n, true
+}
--- a/coordination/tenure/tenure.go
+++ b/coordination/tenure/tenure.go
@@ -77,6 +77,9 @@
 // Until returns when this daemon stops to lead unless a heartbeat is taken.
 func (c *Candidate) Until() time.Duration { return c.until }
 
+// SeenAt returns when a sign of the holder was last seen.
+func (c *Candidate) SeenAt() time.Duration { return c.seenAt }
+
 // Claim returns the end of the topic at which this daemon may claim a term at now:
 // nobody holds one, the holder resigned, was silent for too long, or was this
 // daemon itself. Heartbeats are known up to read, which is when the last read of
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -10,6 +10,8 @@
 	"github.com/hawthornrock/hawthornrock/coordination/budget"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
@@ -73,7 +75,9 @@
 	hadWork  bool
 	register quarantine.Register
 	crashes  []toldCrash
-	peers    map[string]heardStatus
+	// others is the work of all other daemons, as of othersAt.
+	others   relay.Sum
+	othersAt time.Time
 	// asked is the work that callers asked of each model, in seconds of a replica.
 	asked map[string]*budget.Window
 }
@@ -229,9 +233,54 @@
 	}
 }
 
-// lateCrashes returns the latest crashes, to tell peers of. The caller holds the
-// lock.
+// sum returns what this daemon tells others of its work.
+func (b *board) sum(incarnation string, now time.Time) relay.Sum {
+	asked := b.askedNow(clock.Boot())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := relay.Sum{Work: make(map[int64]relay.Work), Asked: asked, Daemons: []uint64{nameOf(incarnation)}, Traffic: b.hadWork}
+	for _, seat := range b.seats {
+		stalled := now.Before(seat.suspectUntil)
+		if seat.epoch == 0 || len(seat.attempts) == 0 && !stalled {
+			continue
+		}
+		w := relay.Work{Load: seat.load(), Silent: now.Sub(seat.lastEvent)}
+		if stalled {
+			w.Stalled = 1
+		}
+		s.Work[seat.epoch] = w
+	}
+	return s
+}
+
+// setElsewhere takes the work of all other daemons.
+func (b *board) setElsewhere(s relay.Sum, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.othersAt = s, now
+}
+
+// noEvent stands for the time since the last event where there was none.
+const noEvent = time.Hour
+
+// elsewhere returns the work that other daemons have at the replica of epoch. The
+// caller holds the lock.
+func (b *board) elsewhere(epoch int64, now time.Time) relay.Work {
+	w := b.others.Work[epoch]
+	age := now.Sub(b.othersAt)
+	if age > statusAge {
+		w = relay.Work{}
+	}
+	if w.Silent += age; w.Load.Writing == 0 {
+		w.Silent = noEvent
+	}
+	return w
+}
+
+// lateCrashes returns the latest crashes, to tell others of.
 func (b *board) lateCrashes(now time.Time) []quarantine.Crash {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.crashes = slices.DeleteFunc(b.crashes, func(c toldCrash) bool { return now.Sub(c.at) > crashesTold })
 	var crashes []quarantine.Crash
 	for _, c := range b.crashes[max(0, len(b.crashes)-crashesKept):] {
@@ -269,7 +318,9 @@
 	b.seat("")
 	delete(b.seats, "")
 	for _, c := range crashes {
-		b.register.Add(time.Now(), c)
+		if b.register.Add(time.Now(), c) {
+			b.crashes = append(b.crashes, toldCrash{crash: c, at: time.Now()})
+		}
 	}
 }
 
@@ -310,7 +361,7 @@
 		if len(s.attempts) == 0 {
 			continue
 		}
-		silent := min(now.Sub(s.lastEvent), b.elsewhere(s.epoch, now).silent) > stallAfter
+		silent := min(now.Sub(s.lastEvent), b.elsewhere(s.epoch, now).Silent) > stallAfter
 		if silent && !now.Before(s.suspectUntil) {
 			stalled = append(stalled, target)
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
@@ -36,9 +37,12 @@
 	failed        map[string]bool
 	broken        map[string]int64
 	leadership    leadership
-	dirty         bool
-	traffic       bool
-	tookTraffic   time.Duration
+	// confirmed is when the last read of what operators ask for was sent, and sum
+	// the work of all other daemons.
+	confirmed time.Duration
+	sum       relay.Sum
+	dirty     bool
+	traffic   bool
 }
 
 // startControl starts the actor that owns the control state.
@@ -51,7 +55,7 @@
 		gateway: g, out: make(map[string]bool), daemons: make(map[string]Peer), loaded: make(map[string]bool),
 		failed: make(map[string]bool), broken: make(map[string]int64), dirty: true,
 	}
-	c.leadership.dead = make(map[string]deadServer)
+	c.leadership.dead, c.leadership.alive = make(map[string]deadServer), make(map[string]time.Duration)
 	c.leadership.candidate.Bounds = tenureBounds
 	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
@@ -82,6 +86,10 @@
 		c.takeTerms(now, m)
 	case claimed:
 		c.takeClaim(now, m)
+	case aliveElsewhere:
+		c.takeAlive(now, m)
+	case heard:
+		c.takeHeard(now, m)
 	case beaten:
 		c.leadership.candidate.Renewed(now, m.sentAt, m.term)
 	case orderDone:
@@ -92,6 +100,10 @@
 	if c.dirty {
 		c.publish(now)
 	}
+	if c.confirmed != 0 {
+		// Only now does traffic act on what was read then.
+		c.gateway.confirmed.Store(int64(max(c.confirmed, time.Duration(c.gateway.confirmed.Load()))))
+	}
 }
 
 // tick does what is due.
@@ -124,6 +136,7 @@
 	switch m.topic {
 	case platform.TopicOperators:
 		c.takeOperators(now, m)
+		c.confirmed = max(c.confirmed, m.news.ReadAt)
 	case platform.TopicServers:
 		c.takeServers(now, m)
 	case platform.TopicDaemons:
@@ -134,10 +147,10 @@
 
 // takeOperators takes what operators ask for.
 func (c *control) takeOperators(now time.Duration, m feedPage) {
-	if m.whole {
-		c.dropDomains(m.page)
+	if m.news.Whole {
+		c.dropDomains(m.news)
 	}
-	for _, r := range m.page.Records {
+	for _, r := range m.news.Records {
 		if r.Key == platform.ConfigurationKey {
 			c.takeConfiguration(r)
 			continue
@@ -153,16 +166,16 @@
 				c.out[domain] = true
 			}
 			c.gateway.logger.Info().Str("event", "domain").Str("failure_domain", domain).Bool("out", out).
-				Int64("offset", r.Offset).Dur("age", now-m.sentAt).Msg("operators changed a failure domain")
+				Int64("offset", r.Offset).Dur("age", now-m.news.ReadAt).Msg("operators changed a failure domain")
 			c.dirty = true
 		}
 	}
 }
 
 // dropDomains takes back the domains that a whole page does not name.
-func (c *control) dropDomains(page platform.Page) {
+func (c *control) dropDomains(news relay.News) {
 	named := make(map[string]bool)
-	for _, r := range page.Records {
+	for _, r := range news.Records {
 		if domain, ok := platform.DomainOut(r.Key); ok {
 			named[domain] = true
 		}
@@ -175,7 +188,7 @@
 }
 
 // takeConfiguration puts a configuration in force, unless it is not newer.
-func (c *control) takeConfiguration(r platform.Record) {
+func (c *control) takeConfiguration(r relay.Record) {
 	if c.configuration != nil && r.Offset <= c.configOffset {
 		return
 	}
@@ -202,10 +215,10 @@
 	if m.missed > storeAway {
 		c.servers.storeReturned(now)
 	}
-	if m.whole {
-		c.servers.reset(now, m.page)
+	if m.news.Whole {
+		c.servers.reset(now, m.news)
 	}
-	for _, r := range m.page.Records {
+	for _, r := range m.news.Records {
 		if r.Key == "" {
 			continue
 		}
@@ -221,12 +234,12 @@
 			c.takeBroken(now, r, err)
 			continue
 		}
-		c.dirty = c.servers.put(now, m.sentAt, r.Offset, s, c.coldFor(s)) || c.dirty
+		c.dirty = c.servers.put(now, m.news.ReadAt, r.Offset, s, c.coldFor(s)) || c.dirty
 	}
 }
 
 // takeBroken notes an entry that another writer left; it names no server.
-func (c *control) takeBroken(now time.Duration, r platform.Record, err error) {
+func (c *control) takeBroken(now time.Duration, r relay.Record, err error) {
 	if _, known := c.broken[r.Key]; !known {
 		c.gateway.metrics.events.Add("broken_entries", 1)
 		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).Err(err).Msg("entry names no server")
@@ -255,13 +268,13 @@
 			c.daemons[key] = p
 		}
 	}
-	for _, r := range m.page.Records {
+	for _, r := range m.news.Records {
 		var h heartbeat
 		if err := cbor.Unmarshal(r.Value, &h); err != nil || h.Front != r.Key {
 			continue
 		}
 		old, known := c.daemons[r.Key]
-		if m.whole && !known && h.Incarnation != c.gateway.incarnation {
+		if m.news.Whole && !known && h.Incarnation != c.gateway.incarnation {
 			// The newest record of a key may be of a daemon that ended long ago.
 			c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now - peerTimeout + heartbeatInterval*3/2}
 			c.dirty = true
@@ -273,7 +286,33 @@
 		c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now}
 		c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready
 	}
-	c.leadership.heardAt = m.sentAt
+	c.leadership.heardAt = m.news.ReadAt
+}
+
+// A heard names the daemons that hubs hear from, and the work of all.
+type heard struct {
+	daemons []uint64
+	sum     relay.Sum
+}
+
+// takeHeard takes which daemons live, and their work.
+func (c *control) takeHeard(now time.Duration, m heard) {
+	c.sum = m.sum
+	alive := make(map[uint64]bool, len(m.daemons))
+	for _, name := range m.daemons {
+		alive[name] = true
+	}
+	for key, p := range c.daemons {
+		if alive[nameOf(p.Heartbeat.Incarnation)] {
+			p.HeardAt = now
+			c.daemons[key] = p
+		}
+	}
+	for epoch, w := range m.sum.Work {
+		if w.Stalled > 0 {
+			c.suspectEpoch(now, epoch)
+		}
+	}
 }
 
 // expirePeers forgets daemons that were not heard from, unless nobody can be
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
@@ -25,14 +26,13 @@
 	retryInterval = 250 * time.Millisecond
 )
 
-// A feedPage is what one read of a topic brought. SentAt is when the read was
-// sent, by the boot clock. Whole pages hold the newest record of every key.
+// feeds are the topics that every daemon follows.
+var feeds = []string{platform.TopicOperators, platform.TopicServers, platform.TopicDaemons}
+
+// A feedPage is what is new of a topic. Missed is the time since the page before it.
 type feedPage struct {
 	topic  string
-	page   platform.Page
-	sentAt time.Duration
-	whole  bool
-	// missed means that reads before this one failed for some time.
+	news   relay.News
 	missed time.Duration
 }
 
@@ -57,36 +57,69 @@
 	return g.follow(ctx, platform.TopicDaemons, 0, daemonsInterval)
 }
 
-// follow reads topic for ever and gives what it reads to the control state.
+// follow reads topic for as long as this daemon is a hub or no hub tells it what
+// is new.
 func (g *Gateway) follow(ctx context.Context, topic string, wait, interval time.Duration) error {
-	next, whole := int64(0), true
-	last := clock.Boot()
+	expired := false
 	for ctx.Err() == nil {
+		if !g.readsItself() {
+			sleep(ctx, relayPoll)
+			continue
+		}
 		sent := clock.Boot()
+		g.neighbours.mu.Lock()
+		next := g.neighbours.topic(topic).End()
+		g.neighbours.mu.Unlock()
 		var (
 			page platform.Page
 			err  error
 		)
+		whole := next < 0 || expired
 		if page, err = g.readFeed(ctx, topic, next, wait, whole); err != nil {
 			g.metrics.storeFailures.Add(topic, 1)
-			if errors.Is(err, platform.ErrExpired) {
-				whole = true
-				continue
+			if expired = errors.Is(err, platform.ErrExpired); !expired {
+				g.tell(feedFailed{topic: topic, err: err})
 			}
-			g.tell(feedFailed{topic: topic, err: err})
 			sleep(ctx, retryInterval)
 			continue
 		}
-		if topic == platform.TopicOperators {
-			g.confirmed.Store(int64(sent))
+		expired = false
+		news := relay.News{Whole: whole, End: page.End, ReadAt: sent}
+		for _, r := range page.Records {
+			news.Records = append(news.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 		}
-		g.tell(feedPage{topic: topic, page: page, sentAt: sent, whole: whole, missed: sent - last})
-		next, whole, last = page.End, false, clock.Boot()
+		g.neighbours.mu.Lock()
+		g.takeFeed(topic, news)
+		g.neighbours.mu.Unlock()
 		sleep(ctx, interval)
 	}
 	return nil
 }
 
+// relayPoll is the time between looks at whether the hubs still tell what is new.
+const relayPoll = 100 * time.Millisecond
+
+// readsItself returns whether this daemon reads the store itself.
+func (g *Gateway) readsItself() bool {
+	n := &g.neighbours
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isHub || clock.Boot()-n.newsAt > relayedAge || n.newsAt == 0
+}
+
+// takeFeed takes news of a topic that this daemon or a hub has read. The caller
+// holds the neighbours' lock, so that news reach the control state in order.
+func (g *Gateway) takeFeed(topic string, news relay.News) {
+	t := g.neighbours.topic(topic)
+	fresh, ok := t.New(news)
+	if !ok {
+		return
+	}
+	missed := news.ReadAt - t.ReadAt()
+	t.Take(fresh)
+	g.tell(feedPage{topic: topic, news: fresh, missed: missed})
+}
+
 // readFeed reads topic once: all newest records if whole is set, else those from
 // next on.
 func (g *Gateway) readFeed(ctx context.Context, topic string, next int64, wait time.Duration, whole bool) (platform.Page, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,12 +53,14 @@
 	leaving   atomic.Bool
 	// term is the term under which this daemon leads, zero if it does not; led is
 	// the last one.
-	term    atomic.Int64
-	led     atomic.Int64
-	serving sync.WaitGroup
-	board   board
-	retryMu sync.Mutex
-	retries map[string]*budget.Retries
+	term       atomic.Int64
+	led        atomic.Int64
+	serving    sync.WaitGroup
+	board      board
+	neighbours neighbours
+	linkGroup  atomic.Pointer[task.Group]
+	retryMu    sync.Mutex
+	retries    map[string]*budget.Retries
 	// beatNow asks for a heartbeat before the next one is due.
 	beatNow chan struct{}
 }
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -13,6 +13,9 @@
 const (
 	// heartbeatInterval is the time between the heartbeats of a daemon.
 	heartbeatInterval = 1200 * time.Millisecond
+	// heartbeatsPerSecond bounds the heartbeats of all daemons. Where there are more,
+	// hubs tell in between who lives.
+	heartbeatsPerSecond = 10
 	// leaderInterval is the time between the heartbeats of the leader.
 	leaderInterval = 600 * time.Millisecond
 	// peerTimeout is how long a daemon counts as alive after its last heartbeat:
@@ -39,15 +42,13 @@
 	// Term is the term that the daemon leads under, or the last one if it leaves;
 	// zero if there is none.
 	Term int64 `cbor:"10,keyasint"`
-	// Asked is the work that callers asked of each model, in replicas kept busy.
-	Asked map[string]float64 `cbor:"11,keyasint"`
 }
 
 // runHeartbeats sends a heartbeat at each interval, and at once when asked to.
 func (g *Gateway) runHeartbeats(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.sendHeartbeat(ctx)
-		interval := heartbeatInterval
+		interval := max(heartbeatInterval, time.Second*time.Duration(g.view.Load().Daemons)/heartbeatsPerSecond)
 		if g.term.Load() != 0 {
 			interval = leaderInterval
 		}
@@ -75,7 +76,7 @@
 	g.board.forget(time.Now())
 	h := heartbeat{
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
-		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, Traffic: g.board.began(), Asked: g.board.askedNow(clock.Boot()),
+		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, Traffic: g.board.began(),
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
 		g.led.Store(h.Term)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/coordination/tenure"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -75,8 +76,10 @@
 	// describeAt is when the fleet is logged next.
 	describeAt time.Duration
 	planner    *formation.Planner
-	// probing holds when each suspected replica was last looked at.
+	// probing holds when each suspected replica or head was last looked at, alive when
+	// servers answered another hub.
 	probing map[string]time.Duration
+	alive   map[string]time.Duration
 	dead    map[string]deadServer
 }
 
@@ -148,7 +151,7 @@
 	if !l.asking && now >= l.askAt && !c.gateway.leaving.Load() {
 		if end, may := l.candidate.Claim(now, l.heardAt); !l.read {
 			c.readTerms()
-		} else if may && c.canServe() {
+		} else if may && c.canServe() && (c.gateway.isHub() || l.heardAt-l.candidate.SeenAt() > 2*tenureBounds.Wait) {
 			c.claim(end)
 		}
 	}
@@ -163,7 +166,7 @@
 		return
 	}
 	c.gateway.logger.Info().Str("event", "leadership").Int64("term", term).Dur("until", l.candidate.Until()-now).Msg("lead changed")
-	l.planner, l.probing = nil, make(map[string]time.Duration)
+	l.planner, l.probing, l.alive = nil, make(map[string]time.Duration), make(map[string]time.Duration)
 	if leads {
 		l.planner = formation.New(term, now)
 		l.term = term
@@ -171,6 +174,13 @@
 	}
 }
 
+// isHub returns whether this daemon reads for others.
+func (g *Gateway) isHub() bool {
+	g.neighbours.mu.Lock()
+	defer g.neighbours.mu.Unlock()
+	return g.neighbours.isHub
+}
+
 // leads returns whether this daemon leads now.
 func (c *control) leads(now time.Duration) bool {
 	_, leads := c.leadership.candidate.Leads(now)
@@ -214,6 +224,12 @@
 	for _, order := range c.leadership.planner.Step(now, f) {
 		c.give(order)
 	}
+	for _, head := range c.leadership.planner.Unlisted() {
+		if last, ok := c.leadership.probing[head.ID]; !ok || now-last > probeInterval {
+			c.leadership.probing[head.ID] = now
+			c.look([]site.Server{head})
+		}
+	}
 	c.describe(now, f)
 }
 
@@ -233,19 +249,16 @@
 
 // demand returns the work that callers ask of each model, at all daemons.
 func (c *control) demand() map[string]float64 {
-	sum := make(map[string]float64)
-	for _, p := range c.daemons {
-		for model, work := range p.Heartbeat.Asked {
-			sum[model] += work
-		}
-	}
-	return sum
+	sum := relay.Sum{}
+	sum.Add(c.sum)
+	sum.Add(relay.Sum{Asked: c.gateway.board.askedNow(clock.Boot())})
+	return sum.Asked
 }
 
 // trafficBegan returns whether callers have begun to call.
 func (c *control) trafficBegan() bool {
 	if !c.traffic {
-		c.traffic = !c.gateway.settings.FirstRun || c.gateway.board.began() || c.othersBegan()
+		c.traffic = !c.gateway.settings.FirstRun || c.gateway.board.began() || c.sum.Traffic || c.othersBegan()
 	}
 	return c.traffic
 }
@@ -308,37 +321,88 @@
 	}
 }
 
+// suspectEpoch notes that the replica of epoch does not answer another daemon.
+func (c *control) suspectEpoch(now time.Duration, epoch int64) {
+	for _, e := range c.servers.entries {
+		if e.server.Member.Epoch == epoch {
+			c.suspect(now, []string{e.server.Member.Group})
+			return
+		}
+	}
+}
+
 // probeStalled looks at the replicas that do not answer this daemon.
 func (c *control) probeStalled(now time.Duration) { c.suspect(now, c.gateway.board.stalled()) }
 
-// probe asks every member of a replica for its report.
+// probe looks at every member of a replica.
 func (c *control) probe(name string) {
-	g := c.gateway
+	var servers []site.Server
 	for _, e := range c.servers.all() {
-		if e.server.Member.Group != name {
-			continue
+		if e.server.Member.Group == name {
+			servers = append(servers, e.server)
 		}
+	}
+	c.look(servers)
+}
+
+// look finds out whether servers answer, this daemon or another hub.
+func (c *control) look(servers []site.Server) {
+	g := c.gateway
+	targets := make([]target, 0, len(servers))
+	for _, s := range servers {
+		targets = append(targets, target{ID: s.ID, Address: s.Address})
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
-			answered := false
-			for range deadProbes {
-				attempt, cancel := context.WithTimeout(ctx, probeTimeout)
-				g.metrics.events.Add("probes", 1)
-				_, err := g.engines.Report(attempt, e.server)
-				cancel()
-				if answered = err == nil; answered {
-					break
-				}
+			answered := g.answers(ctx, s)
+			if !answered {
+				// Other hubs have as long, and their answers are on their way.
+				sleep(ctx, hubMargin)
 			}
-			g.tell(probed{server: e.server, answered: answered})
+			g.tell(probed{server: s, answered: answered})
 			return nil
 		})
 	}
+	g.askHubs(targets)
 }
 
+// hubMargin is the time for the way to another hub and back.
+const hubMargin = 100 * time.Millisecond
+
+// answers returns whether a server answers this daemon.
+func (g *Gateway) answers(ctx context.Context, s site.Server) bool {
+	for range deadProbes {
+		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
+		g.metrics.events.Add("probes", 1)
+		_, err := g.engines.Report(attempt, s)
+		cancel()
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// An aliveElsewhere names servers that answered another hub.
+type aliveElsewhere struct{ servers []string }
+
+// takeAlive takes which servers answered another hub.
+func (c *control) takeAlive(now time.Duration, m aliveElsewhere) {
+	for _, id := range m.servers {
+		c.leadership.alive[id] = now
+		if _, known := c.leadership.dead[id]; known {
+			delete(c.leadership.dead, id)
+			c.dirty = true
+		}
+	}
+}
+
+// aliveFor is how long the answer of a server to another hub counts.
+const aliveFor = 2 * time.Second
+
 // takeProbe takes the end of a look at a server.
 func (c *control) takeProbe(now time.Duration, m probed) {
 	_, known := c.leadership.dead[m.server.ID]
-	if m.answered {
+	at, alive := c.leadership.alive[m.server.ID]
+	if m.answered || alive && now-at < aliveFor {
 		delete(c.leadership.dead, m.server.ID)
 		c.dirty = c.dirty || known
 		return
@@ -347,16 +411,16 @@
 	if !known {
 		c.dirty = true
 		c.gateway.logger.Warn().Str("event", "server_dead").Str("server", m.server.ID).Str("group", m.server.Member.Group).
-			Int64("term", c.leadership.term).Dur("at", now).Msg("server does not answer")
+			Int64("term", c.leadership.term).Msg("server answers no hub")
 	}
 }
 
-// forgetDead forgets dead servers that are not listed any more, have a new life or
-// are still listed although a silent one would have lapsed.
+// forgetDead forgets dead servers that have a new life or are still listed although
+// a silent one would have lapsed.
 func (c *control) forgetDead(now time.Duration) {
 	for id, d := range c.leadership.dead {
 		e, ok := c.servers.entries[id]
-		if !ok || e.server.Born != d.born || now-d.at > deadFor {
+		if ok && e.server.Born != d.born || now-d.at > deadFor {
 			delete(c.leadership.dead, id)
 			c.dirty = true
 		}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,173 +3,393 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
 
 const (
-	// statusInterval is the time between two statuses to a peer while there are few:
+	// statusInterval is the time between two statuses while a hub has few followers:
 	// two passes of a busy engine.
 	statusInterval = 150 * time.Millisecond
-	// statusesPerSecond bounds the statuses that a daemon sends to all its peers.
-	statusesPerSecond = 120
-	// statusAge is how old a status may be to count.
-	statusAge = 2 * time.Second
-	// peersInterval is the time between looks at which peers there are.
-	peersInterval = 300 * time.Millisecond
+	// statusCost is the time that a hub takes over one follower at most, so that many
+	// followers do not use up its processor.
+	statusCost = 20 * time.Millisecond
+	// statusAge is how old what a daemon told may be to count: several statuses.
+	statusAge = 1200 * time.Millisecond
+	// hubTimeout is how long a hub may be without an answer before its followers
+	// turn to the next one.
+	hubTimeout = 700 * time.Millisecond
+	// relayedAge is how old the last news from a hub may be before a daemon reads the
+	// store itself.
+	relayedAge = 1200 * time.Millisecond
+	// senderIdle is how long an unused link is kept.
+	senderIdle = 5 * time.Second
 )
 
-// A status is what one daemon tells its peers directly: what the store is too slow
-// for.
-type status struct {
-	Incarnation string `cbor:"1,keyasint"`
-	// Work is the daemon's work at each replica, by epoch.
-	Work map[int64]replicaWork `cbor:"2,keyasint"`
-	// Crashes are the latest crashes of servers under its requests.
-	Crashes []quarantine.Crash `cbor:"3,keyasint,omitempty"`
+// A message is what daemons tell each other directly: a follower its hub, a hub its
+// followers and the other hubs.
+type message struct {
+	From string `cbor:"1,keyasint"`
+	// Peer and Secret are where and how to answer. A daemon that asks to be told sets
+	// Have, the offset from which it wants news of each topic, and Stamp, its clock.
+	Peer   string           `cbor:"2,keyasint,omitempty"`
+	Secret string           `cbor:"3,keyasint,omitempty"`
+	Have   map[string]int64 `cbor:"4,keyasint,omitempty"`
+	Stamp  time.Duration    `cbor:"5,keyasint,omitempty"`
+	// Echo is the stamp that an answer is for. The news of an answer were read at
+	// ReadAt after the hub had that stamp.
+	Echo time.Duration         `cbor:"6,keyasint,omitempty"`
+	News map[string]relay.News `cbor:"7,keyasint,omitempty"`
+	// Sum is the work of the sender, of a hub with its followers, or of all daemons
+	// but the receiver.
+	Sum     relay.Sum          `cbor:"8,keyasint"`
+	Crashes []quarantine.Crash `cbor:"9,keyasint,omitempty"`
+	// Probe asks hubs to look at servers, and Alive names those that answered.
+	Probe []target `cbor:"10,keyasint,omitempty"`
+	Alive []string `cbor:"11,keyasint,omitempty"`
 }
 
-// A replicaWork is the work of one daemon at one replica. Silent is the time since
-// the last event from it, in milliseconds; Stalled means that it does not answer.
-type replicaWork struct {
+// A target is a server to look at.
+type target struct {
 	_       struct{} `cbor:",toarray"`
-	Writing int
-	Waiting int
-	Tokens  int
-	Silent  int64
-	Stalled bool
+	ID      string
+	Address string
+}
+
+// A part is the newest sum of one daemon, or of a hub with its followers.
+type part struct {
+	sum relay.Sum
+	at  time.Duration
+	hub bool
+}
+
+// A usedSender is a link and when it was last used.
+type usedSender struct {
+	sender *link.Sender[message]
+	cancel context.CancelFunc
+	used   time.Duration
 }
 
-// A heardStatus is the newest status of a peer.
-type heardStatus struct {
-	status status
-	at     time.Time
+// neighbours are the daemons that this one has links with. The zero value has none.
+type neighbours struct {
+	mu      sync.Mutex
+	topics  map[string]*relay.Topic
+	parts   map[string]part
+	senders map[string]*usedSender
+	// hub is the front address of the hub that this daemon follows, askedAt when it
+	// first went without an answer, and newsAt when the last news came.
+	hub     string
+	askedAt time.Duration
+	newsAt  time.Duration
+	isHub   bool
 }
 
-// peerHandler takes the statuses of peers.
+// peerHandler takes the messages of other daemons.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(link.Path, link.Accept(g.secret, g.links, func(s status) {
-		g.board.heard(s, time.Now())
-	}))
+	mux.Handle(link.Path, link.Accept(g.secret, g.links, g.takeMessage))
 	return mux
 }
 
-// runPeers keeps a link to every daemon that is known, and sends them statuses.
+// runPeers tells the hub, or as a hub the other hubs, the work of this daemon.
 func (g *Gateway) runPeers(ctx context.Context) error {
-	var (
-		senders = make(map[string]*link.Sender[status])
-		cancels = make(map[string]context.CancelFunc)
-		group   task.Group
-		looked  time.Time
-	)
+	var group task.Group
 	reaped := make(chan error, 1)
 	reapCtx, stopReaping := context.WithCancel(ctx)
+	defer stopReaping()
 	go func() { reaped <- group.Reap(reapCtx) }()
+	g.linkGroup.Store(&group)
 	for ctx.Err() == nil {
-		if time.Since(looked) > peersInterval {
-			looked = time.Now()
-			g.connect(ctx, senders, cancels, &group)
+		interval := g.tellNeighbours(ctx)
+		g.dropSenders()
+		sleep(ctx, interval)
+	}
+	g.dropAllSenders()
+	stopReaping()
+	return <-reaped
+}
+
+// members returns the daemons that are known, by front address.
+func (v *View) members(self string) []string {
+	out := []string{self}
+	for _, h := range v.Peers {
+		if !h.Leaving && h.Front != self {
+			out = append(out, h.Front)
 		}
-		s := g.board.status(g.incarnation, time.Now())
-		for _, sender := range senders {
-			sender.Send(s)
+	}
+	return out
+}
+
+// peer returns the daemon with the given front address.
+func (v *View) peer(front string) (heartbeat, bool) {
+	for _, h := range v.Peers {
+		if h.Front == front {
+			return h, true
 		}
-		sleep(ctx, max(statusInterval, time.Duration(len(senders))*time.Second/statusesPerSecond))
 	}
-	for _, cancel := range cancels {
-		cancel()
+	return heartbeat{}, false
+}
+
+// tellNeighbours sends what is due and returns when to do so next.
+func (g *Gateway) tellNeighbours(ctx context.Context) time.Duration {
+	view, now := g.view.Load(), clock.Boot()
+	members := view.members(g.settings.Front)
+	hubs := relay.Hubs(members)
+	n := &g.neighbours
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isHub = contains(hubs, g.settings.Front); n.isHub {
+		m := message{From: g.incarnation, Sum: g.sumBelow(now), Crashes: g.board.lateCrashes(time.Now())}
+		for _, front := range hubs {
+			if h, ok := view.peer(front); ok {
+				g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
+			}
+		}
+		others := g.sumExcept("", now)
+		g.board.setElsewhere(others, time.Now())
+		g.tell(heard{daemons: others.Daemons, sum: others})
+		return statusInterval
 	}
-	stopReaping()
-	return <-reaped
+	g.chooseHub(relay.Order(g.settings.Front, hubs), now)
+	if h, ok := view.peer(n.hub); ok {
+		m := message{
+			From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Have: make(map[string]int64), Stamp: now,
+			Sum: g.board.sum(g.incarnation, time.Now()), Crashes: g.board.lateCrashes(time.Now()),
+		}
+		for _, topic := range feeds {
+			m.Have[topic] = n.topic(topic).End()
+		}
+		g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
+	}
+	return max(statusInterval, time.Duration(len(members)/max(len(hubs), 1))*statusCost)
 }
 
-// connect opens links to new peers and closes those to peers that are gone.
-func (g *Gateway) connect(ctx context.Context, senders map[string]*link.Sender[status], cancels map[string]context.CancelFunc, group *task.Group) {
-	peers := g.view.Load().Peers
-	for incarnation, cancel := range cancels {
-		if _, ok := peers[incarnation]; !ok {
-			cancel()
-			delete(cancels, incarnation)
-			delete(senders, incarnation)
+// chooseHub turns to the next hub when the present one does not answer. The caller
+// holds the lock.
+func (g *Gateway) chooseHub(order []string, now time.Duration) {
+	n := &g.neighbours
+	at := 0
+	for i, front := range order {
+		if front == n.hub {
+			at = i
 		}
 	}
-	for incarnation, h := range peers {
-		if _, ok := senders[incarnation]; ok || h.Peer == "" {
-			continue
+	switch {
+	case len(order) == 0:
+		n.hub = ""
+	case order[at] != n.hub:
+		n.hub, n.askedAt = order[0], now
+	case now-max(n.askedAt, n.newsAt) > hubTimeout:
+		next := order[(at+1)%len(order)]
+		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.newsAt).Msg("hub does not answer")
+		n.hub, n.askedAt = next, now
+	}
+}
+
+// contains returns whether all holds s.
+func contains(all []string, s string) bool {
+	for _, o := range all {
+		if o == s {
+			return true
 		}
-		sender := link.NewSender[status]("ws://"+h.Peer+link.Path, h.Secret, g.peerClient, g.links)
-		senderCtx, cancel := context.WithCancel(ctx)
-		senders[incarnation], cancels[incarnation] = sender, cancel
-		group.Go(senderCtx, "peer "+h.Daemon, sender.Run)
 	}
+	return false
 }
 
-// heard takes the status of a peer.
-func (b *board) heard(s status, now time.Time) {
-	b.convicted(s.Crashes)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.peers == nil {
-		b.peers = make(map[string]heardStatus)
+// topic returns what is known of a topic. The caller holds the lock.
+func (n *neighbours) topic(name string) *relay.Topic {
+	if n.topics == nil {
+		n.topics = make(map[string]*relay.Topic)
+	}
+	if n.topics[name] == nil {
+		n.topics[name] = &relay.Topic{}
 	}
-	b.peers[s.Incarnation] = heardStatus{status: s, at: now}
+	return n.topics[name]
 }
 
-// status returns what this daemon tells its peers.
-func (b *board) status(incarnation string, now time.Time) status {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := status{Incarnation: incarnation, Work: make(map[int64]replicaWork), Crashes: b.lateCrashes(now)}
-	for _, seat := range b.seats {
-		stalled := now.Before(seat.suspectUntil)
-		if seat.epoch == 0 || len(seat.attempts) == 0 && !stalled {
-			continue
+// sendTo sends m to a daemon. The caller holds the lock.
+func (g *Gateway) sendTo(ctx context.Context, incarnation, peer, secret string, m message) {
+	n := &g.neighbours
+	group := g.linkGroup.Load()
+	if peer == "" || group == nil {
+		return
+	}
+	if n.senders == nil {
+		n.senders = make(map[string]*usedSender)
+	}
+	s, ok := n.senders[incarnation]
+	if !ok {
+		ctx, cancel := context.WithCancel(ctx)
+		s = &usedSender{sender: link.NewSender[message]("ws://"+peer+link.Path, secret, g.peerClient, g.links), cancel: cancel}
+		n.senders[incarnation] = s
+		group.Go(ctx, "peer "+peer, s.sender.Run)
+	}
+	s.used = clock.Boot()
+	s.sender.Send(m)
+}
+
+// dropSenders ends the links that are not used any more.
+func (g *Gateway) dropSenders() {
+	n := &g.neighbours
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for incarnation, s := range n.senders {
+		if clock.Boot()-s.used > senderIdle {
+			s.cancel()
+			delete(n.senders, incarnation)
 		}
-		l := seat.load()
-		s.Work[seat.epoch] = replicaWork{
-			Writing: l.Writing, Waiting: l.Waiting, Tokens: l.Tokens, Silent: now.Sub(seat.lastEvent).Milliseconds(), Stalled: stalled,
+	}
+}
+
+// dropAllSenders ends all links.
+func (g *Gateway) dropAllSenders() {
+	n := &g.neighbours
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.senders {
+		s.cancel()
+	}
+	n.senders = nil
+}
+
+// takeMessage takes a message of another daemon.
+func (g *Gateway) takeMessage(m message) {
+	now := clock.Boot()
+	g.board.convicted(m.Crashes)
+	if len(m.Alive) > 0 {
+		g.tell(aliveElsewhere{servers: m.Alive})
+	}
+	n := &g.neighbours
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(m.Probe) > 0 {
+		g.probeFor(m)
+		return
+	}
+	if m.Echo != 0 {
+		g.takeNews(m, now)
+		return
+	}
+	if len(m.Alive) > 0 {
+		return
+	}
+	if n.parts == nil {
+		n.parts = make(map[string]part)
+	}
+	n.parts[m.From] = part{sum: m.Sum, at: now, hub: m.Peer == ""}
+	if m.Peer == "" {
+		return
+	}
+	answer := message{From: g.incarnation, Echo: m.Stamp, News: make(map[string]relay.News), Sum: g.sumExcept(m.From, now)}
+	answer.Crashes = g.board.lateCrashes(time.Now())
+	for topic, have := range m.Have {
+		news, ok := n.topic(topic).Since(have)
+		if !ok || now-news.ReadAt > relayedAge+readTimeout {
+			continue
 		}
+		news.ReadAt -= now
+		answer.News[topic] = news
 	}
-	for incarnation, h := range b.peers {
-		if now.Sub(h.at) > statusAge {
-			delete(b.peers, incarnation)
+	g.sendTo(context.Background(), m.From, m.Peer, m.Secret, answer)
+}
+
+// askHubs asks the other hubs to look at servers.
+func (g *Gateway) askHubs(targets []target) {
+	view := g.view.Load()
+	g.neighbours.mu.Lock()
+	defer g.neighbours.mu.Unlock()
+	m := message{From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Probe: targets}
+	for _, front := range relay.Hubs(view.members(g.settings.Front)) {
+		if h, ok := view.peer(front); ok {
+			g.sendTo(context.Background(), h.Incarnation, h.Peer, h.Secret, m)
 		}
 	}
-	return s
 }
 
-// elsewhere is what peers tell of one replica. Silent is the shortest time since an
-// event that one of them with work there had, a long time if none has.
-type elsewhere struct {
-	load    dispatch.Load
-	silent  time.Duration
-	stalled int
+// probeFor looks at servers for another daemon, and tells it which of them answer.
+// The caller holds the lock.
+func (g *Gateway) probeFor(m message) {
+	for _, t := range m.Probe {
+		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
+			if !g.answers(ctx, site.Server{ID: t.ID, Address: t.Address}) {
+				return nil
+			}
+			g.neighbours.mu.Lock()
+			defer g.neighbours.mu.Unlock()
+			g.sendTo(context.Background(), m.From, m.Peer, m.Secret, message{From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Alive: []string{t.ID}})
+			return nil
+		})
+	}
 }
 
-// noEvent stands for the time since the last event where there was none.
-const noEvent = time.Hour
+// takeNews takes the answer of a hub. The caller holds the lock.
+func (g *Gateway) takeNews(m message, now time.Duration) {
+	n := &g.neighbours
+	g.board.setElsewhere(m.Sum, time.Now())
+	g.tell(heard{daemons: m.Sum.Daemons, sum: m.Sum})
+	if len(m.News) == len(feeds) {
+		n.newsAt = now
+	}
+	for topic, news := range m.News {
+		// What the hub read ReadAt after it had the stamp was read later than that
+		// after the stamp was made.
+		news.ReadAt += m.Echo
+		g.takeFeed(topic, news)
+	}
+}
 
-// elsewhere returns what peers tell of the replica of epoch. The caller holds the
+// sumBelow returns the work of this daemon and its followers. The caller holds the
 // lock.
-func (b *board) elsewhere(epoch int64, now time.Time) elsewhere {
-	e := elsewhere{silent: noEvent}
-	for _, h := range b.peers {
-		w, ok := h.status.Work[epoch]
-		if !ok || now.Sub(h.at) > statusAge {
-			continue
+func (g *Gateway) sumBelow(now time.Duration) relay.Sum {
+	sum := g.board.sum(g.incarnation, time.Now())
+	for _, p := range g.neighbours.parts {
+		if !p.hub {
+			sum.Add(p.agedTo(now))
 		}
-		e.load = e.load.Add(dispatch.Load{Writing: w.Writing, Waiting: w.Waiting, Tokens: w.Tokens})
-		if w.Writing > 0 {
-			e.silent = min(e.silent, time.Duration(w.Silent)*time.Millisecond+now.Sub(h.at))
+	}
+	return sum
+}
+
+// sumExcept returns the work of all daemons but the one named, or but this one. The
+// caller holds the lock.
+func (g *Gateway) sumExcept(incarnation string, now time.Duration) relay.Sum {
+	var sum relay.Sum
+	if incarnation != "" {
+		sum.Add(g.board.sum(g.incarnation, time.Now()))
+	}
+	for from, p := range g.neighbours.parts {
+		if now-p.at > statusAge {
+			delete(g.neighbours.parts, from)
+			continue
 		}
-		if w.Stalled {
-			e.stalled++
+		if from != incarnation {
+			sum.Add(p.agedTo(now))
 		}
 	}
-	return e
+	return sum
 }
+
+// agedTo returns the sum of p as of now: nothing is known of events since.
+func (p part) agedTo(now time.Duration) relay.Sum {
+	if now-p.at > statusAge {
+		return relay.Sum{}
+	}
+	out := relay.Sum{Work: make(map[int64]relay.Work, len(p.sum.Work)), Asked: p.sum.Asked, Daemons: p.sum.Daemons, Traffic: p.sum.Traffic}
+	for epoch, w := range p.sum.Work {
+		w.Silent += now - p.at
+		out.Work[epoch] = w
+	}
+	return out
+}
+
+// nameOf returns the number that stands for a daemon in sums.
+func nameOf(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
-	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -81,7 +81,7 @@
 }
 
 // remove takes the removal of an entry and returns whether that changed the list.
-func (r *roster) remove(now time.Duration, record platform.Record) bool {
+func (r *roster) remove(now time.Duration, record relay.Record) bool {
 	e, ok := r.entries[record.Key]
 	if r.removed != nil {
 		r.removed[record.Key] = record.Offset
@@ -98,15 +98,15 @@
 	return true
 }
 
-// reset drops the entries that a page of all newest records does not hold.
-func (r *roster) reset(now time.Duration, page platform.Page) {
-	listed := make(map[string]bool, len(page.Records))
-	for _, record := range page.Records {
+// reset drops the entries that news of all newest records do not hold.
+func (r *roster) reset(now time.Duration, news relay.News) {
+	listed := make(map[string]bool, len(news.Records))
+	for _, record := range news.Records {
 		listed[record.Key] = true
 	}
 	for id, e := range r.entries {
 		if !listed[id] {
-			r.remove(now, platform.Record{Key: id, Offset: max(page.End, e.offset+1)})
+			r.remove(now, relay.Record{Key: id, Offset: max(news.End, e.offset+1)})
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/budget"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
@@ -119,7 +120,7 @@
 		other := b.elsewhere(r.Epoch, now)
 		replicas = append(replicas, r)
 		candidates = append(candidates, dispatch.Candidate{
-			Load: seat.load().Add(other.load), Far: r.Head.FailureDomain != g.settings.FailureDomain,
+			Load: seat.load().Add(other.Load), Far: r.Head.FailureDomain != g.settings.FailureDomain,
 			Silent: silence(seat, other, now),
 		})
 	}
@@ -137,12 +138,12 @@
 
 // silence returns how long a replica that writes has been without an event, zero
 // if it has nothing to write.
-func silence(s *seat, other elsewhere, now time.Time) time.Duration {
-	silent := other.silent
+func silence(s *seat, other relay.Work, now time.Time) time.Duration {
+	silent := other.Silent
 	if s.load().Writing > 0 {
 		silent = min(silent, now.Sub(s.lastEvent))
 	}
-	if silent == noEvent {
+	if silent >= noEvent {
 		return 0
 	}
 	return silent
