fix: hubs pass on the newest of each key, once, and are the strongest daemons

News now hold the newest record of each key, say from where they follow, and are not repeated within a second; the machines with the largest share of a processor are hubs. A request sent on after a crash convicts at the second crash: 3 crashes in all instead of 4.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -773,10 +773,20 @@
 const restageShare = 2
 
 // stageOthers lets members that have loaded put a model that they do not run onto
-// their hosts, so that they can change over without a load. It is free only before
-// callers come. A member that rejoins its own model needs no host.
+// their hosts, so that they can change over without a load, and lets the servers
+// that are left over take one. It is free only before callers come. A member that
+// rejoins its own model needs no host.
 func (s *step) stageOthers() {
 	models := s.fleet.Engine.Models
+	if s.settled() {
+		for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
+			for i, server := range s.idle[domain] {
+				if len(server.Staged) == 0 {
+					s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: s.needs()[i%len(models)].Name})
+				}
+			}
+		}
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 		server := s.fleet.Servers[id]
 		if server.Member.State < site.Ready || len(models) < 2 {
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -37,6 +37,9 @@
 	Server   string        `cbor:"server"   json:"server"`
 	Episode  string        `cbor:"episode"  json:"episode"`
 	Suspects []Fingerprint `cbor:"suspects" json:"suspects"`
+	// Resent is the request that was sent to Server after another server had crashed
+	// under it, so that these crashes did not come together.
+	Resent Fingerprint `cbor:"resent,omitempty" json:"resent,omitempty"`
 }
 
 // A Verdict is what a Record says about a fingerprint.
@@ -96,7 +99,7 @@
 	}
 	for _, f := range c.Suspects {
 		known := slices.ContainsFunc(r.strikes[f], func(s strike) bool {
-			return s.episode == c.Episode || now.Sub(s.at) < Apart
+			return s.episode == c.Episode || f != c.Resent && now.Sub(s.at) < Apart
 		})
 		if known {
 			continue
--- a/coordination/relay/hubs.go
+++ b/coordination/relay/hubs.go
@@ -19,13 +19,25 @@
 	perHub = 14
 )
 
-// Hubs returns the daemons of members that read for all, the same at every daemon
-// that knows the same members.
-func Hubs(members []string) []string {
-	ranked := slices.SortedFunc(slices.Values(members), func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(b), xxhash.Sum64String(a)), cmp.Compare(a, b))
+// A Member is a daemon that may be a hub. Strength is its share of a processor.
+type Member struct {
+	Name     string
+	Strength float64
+}
+
+// Hubs returns the daemons of members that read for all, the strongest ones. They
+// are the same at every daemon that knows the same members.
+func Hubs(members []Member) []string {
+	ranked := slices.SortedFunc(slices.Values(members), func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)),
+			cmp.Compare(a.Name, b.Name))
 	})
-	return ranked[:min(len(ranked), max(fewestHubs, (len(members)+perHub-1)/perHub))]
+	ranked = ranked[:min(len(ranked), max(fewestHubs, (len(members)+perHub-1)/perHub))]
+	hubs := make([]string, 0, len(ranked))
+	for _, m := range ranked {
+		hubs = append(hubs, m.Name)
+	}
+	return hubs
 }
 
 // Order returns hubs in the order in which self turns to them, so that daemons
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -14,19 +14,38 @@
 )
 
 func ExampleHubs() {
-	var members []string
+	var members []relay.Member
 	for n := range 72 {
-		members = append(members, fmt.Sprintf("daemon-%d", n))
+		members = append(members, relay.Member{Name: fmt.Sprintf("daemon-%d", n)})
 	}
 	fmt.Println(len(relay.Hubs(members)), len(relay.Hubs(members[:9])), len(relay.Hubs(members[:1])))
 	// Output: 6 3 1
 }
 
 func TestHubsAreTheSameInAnyOrder(t *testing.T) {
-	members := []string{"a", "b", "c", "d", "e", "f"}
+	var members []relay.Member
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		members = append(members, relay.Member{Name: name, Strength: 0.4})
+	}
 	want := relay.Hubs(members)
 	slices.Reverse(members)
 	require.Equal(t, want, relay.Hubs(members))
+	members[0].Strength = 0.8
+	require.Equal(t, members[0].Name, relay.Hubs(members)[0], "the strongest reads for the others")
+}
+
+// TestStormOfOneKey is the pattern of trouble-2 of the grown utility: the same large
+// record is replaced several times a second, faster than links carry every version.
+func TestStormOfOneKey(t *testing.T) {
+	var hub relay.Topic
+	hub.Take(relay.News{Whole: true})
+	for n := range int64(50) {
+		hub.Take(relay.News{Records: []relay.Record{{Key: "config", Value: []byte{1}, Offset: n}}, End: n + 1})
+	}
+	news, ok := hub.Since(10)
+	require.True(t, ok)
+	require.Len(t, news.Records, 1)
+	require.Equal(t, int64(49), news.Records[0].Offset)
 }
 
 func TestFollowersSpreadOverHubs(t *testing.T) {
@@ -58,7 +77,7 @@
 		hub.Take(relay.News{Whole: true})
 		have := int64(-1)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			n := relay.News{}
+			n := relay.News{From: offset}
 			for range rapid.IntRange(0, 5).Draw(t, "records") {
 				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
 				r := relay.Record{Key: key, Offset: offset}
@@ -73,14 +92,19 @@
 			}
 			n.End = offset
 			hub.Take(n)
-			if rapid.Bool().Draw(t, "followed") {
+			if rapid.Bool().Draw(t, "asked") {
 				news, ok := hub.Since(have)
 				require.True(t, ok)
-				follower.Take(news)
-				have = news.End
+				// Some news are lost on their way.
+				if news, ok = follower.New(news); ok && rapid.Bool().Draw(t, "arrived") {
+					follower.Take(news)
+				}
+				// The hub takes it that they have arrived until it hears otherwise.
+				have = rapid.SampledFrom([]int64{follower.End(), news.End}).Draw(t, "have")
 			}
 		}
-		news, _ := hub.Since(have)
+		news, _ := hub.Since(follower.End())
+		news, _ = follower.New(news)
 		follower.Take(news)
 		all, _ := follower.Since(-1)
 		require.Len(t, all.Records, len(truth))
--- a/coordination/relay/topic.go
+++ b/coordination/relay/topic.go
@@ -14,12 +14,13 @@
 	Offset int64
 }
 
-// A News is what is new of a topic since an offset. Whole news hold the newest
-// record of every key. End is the offset after the last record, and ReadAt when the
+// A News is what is new of a topic from the offset From on. Whole news hold the
+// newest record of every key. End is the offset after the last record, and ReadAt when the
 // read was sent that brought the latest of it.
 type News struct {
 	Records []Record
 	Whole   bool
+	From    int64
 	End     int64
 	ReadAt  time.Duration
 }
@@ -88,7 +89,8 @@
 		return n, false
 	case n.Whole:
 		return n, true
-	case !t.known:
+	case !t.known || n.From > t.end:
+		// News from before these are missing.
 		return n, false
 	}
 	out := News{End: n.End, ReadAt: n.ReadAt}
@@ -103,7 +105,7 @@
 // Since returns the news since offset: all that is newest if the records from there
 // on are not kept. It returns false while nothing is known.
 func (t *Topic) Since(offset int64) (News, bool) {
-	n := News{End: t.end, ReadAt: t.readAt}
+	n := News{From: offset, End: t.end, ReadAt: t.readAt}
 	if !t.known {
 		return n, false
 	}
@@ -115,7 +117,8 @@
 		return n, true
 	}
 	for _, r := range t.tail {
-		if r.Offset >= offset {
+		// A record that a later one of its key has replaced is not news any more.
+		if newest, ok := t.newest[r.Key]; r.Offset >= offset && (!ok && len(r.Value) == 0 || ok && newest.Offset == r.Offset) {
 			n.Records = append(n.Records, r)
 		}
 	}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -48,7 +48,9 @@
 	sentAt      time.Time
 	lastEvent   time.Time
 	started     bool
-	cancel      context.CancelCauseFunc
+	// resent means that another server crashed under the request before.
+	resent bool
+	cancel context.CancelCauseFunc
 }
 
 // A seat is what is known first-hand of one replica or plain server.
@@ -290,11 +292,14 @@
 }
 
 // crashed notes that a server crashed under a.
-func (b *board) crashed(daemon, episode string, a *attempt) {
+func (b *board) crashed(daemon string, a *attempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	crash := quarantine.Crash{Daemon: daemon, Server: a.target, Episode: episode}
+	crash := quarantine.Crash{Daemon: daemon, Server: a.target, Episode: a.target}
+	if a.resent {
+		crash.Resent = a.fingerprint
+	}
 	for other := range b.seat(a.target).attempts {
 		if !other.started {
 			crash.Suspects = append(crash.Suspects, other.fingerprint)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -323,7 +323,7 @@
 	}
 	n := len(c.daemons)
 	maps.DeleteFunc(c.daemons, func(_ string, p Peer) bool {
-		if now-p.HeardAt <= peerTimeout {
+		if now-p.HeardAt <= peerTimeout || p.Heartbeat.Incarnation == c.gateway.incarnation {
 			return false
 		}
 		c.gateway.logger.Info().Str("event", "daemon_lost").Str("peer", p.Heartbeat.Daemon).Dur("age", now-p.HeardAt).Msg("daemon was not heard from")
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		expired = false
-		news := relay.News{Whole: whole, End: page.End, ReadAt: sent}
+		news := relay.News{Whole: whole, From: next, End: page.End, ReadAt: sent}
 		for _, r := range page.Records {
 			news.Records = append(news.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,3 +200,6 @@
 	case <-timer.C:
 	}
 }
+
+// Monitor returns the counts of what must always hold.
+func (g *Gateway) Monitor() *invariant.Monitor { return g.monitor }
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -37,6 +37,8 @@
 	// Peer is where the daemon takes statuses, Secret what they must carry.
 	Peer   string `cbor:"7,keyasint"`
 	Secret string `cbor:"8,keyasint"`
+	// Strength is the daemon's share of a processor.
+	Strength float64 `cbor:"11,keyasint"`
 	// Traffic means that callers have begun to call.
 	Traffic bool `cbor:"9,keyasint"`
 	// Term is the term that the daemon leads under, or the last one if it leaves;
@@ -76,7 +78,7 @@
 	g.board.forget(time.Now())
 	h := heartbeat{
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, Zone: g.settings.FailureDomain,
-		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, Traffic: g.board.began(),
+		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, Traffic: g.board.began(), Strength: g.settings.Limits.CPUShare,
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
 		g.led.Store(h.Term)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -85,6 +85,8 @@
 	topics  map[string]*relay.Topic
 	parts   map[string]part
 	senders map[string]*usedSender
+	// sent is what followers were sent last, by follower and topic.
+	sent map[string]sentNews
 	// hub is the front address of the hub that this daemon follows, askedAt when it
 	// first went without an answer, and newsAt when the last news came.
 	hub     string
@@ -119,11 +121,11 @@
 }
 
 // members returns the daemons that are known, by front address.
-func (v *View) members(self string) []string {
-	out := []string{self}
+func (g *Gateway) members(v *View) []relay.Member {
+	out := []relay.Member{{Name: g.settings.Front, Strength: g.settings.Limits.CPUShare}}
 	for _, h := range v.Peers {
-		if !h.Leaving && h.Front != self {
-			out = append(out, h.Front)
+		if !h.Leaving && h.Front != g.settings.Front {
+			out = append(out, relay.Member{Name: h.Front, Strength: h.Strength})
 		}
 	}
 	return out
@@ -142,7 +144,7 @@
 // tellNeighbours sends what is due and returns when to do so next.
 func (g *Gateway) tellNeighbours(ctx context.Context) time.Duration {
 	view, now := g.view.Load(), clock.Boot()
-	members := view.members(g.settings.Front)
+	members := g.members(view)
 	hubs := relay.Hubs(members)
 	n := &g.neighbours
 	n.mu.Lock()
@@ -242,12 +244,18 @@
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := clock.Boot()
 	for incarnation, s := range n.senders {
-		if clock.Boot()-s.used > senderIdle {
+		if now-s.used > senderIdle {
 			s.cancel()
 			delete(n.senders, incarnation)
 		}
 	}
+	for key, s := range n.sent {
+		if now-s.at > time.Minute {
+			delete(n.sent, key)
+		}
+	}
 }
 
 // dropAllSenders ends all links.
@@ -292,23 +300,53 @@
 	answer := message{From: g.incarnation, Echo: m.Stamp, News: make(map[string]relay.News), Sum: g.sumExcept(m.From, now)}
 	answer.Crashes = g.board.lateCrashes(time.Now())
 	for topic, have := range m.Have {
-		news, ok := n.topic(topic).Since(have)
-		if !ok || now-news.ReadAt > relayedAge+readTimeout {
-			continue
+		if news, ok := n.newsFor(m.From, topic, have, now); ok {
+			news.ReadAt -= now
+			answer.News[topic] = news
 		}
-		news.ReadAt -= now
-		answer.News[topic] = news
 	}
 	g.sendTo(context.Background(), m.From, m.Peer, m.Secret, answer)
 }
 
+// A sentNews is what a follower was sent last of a topic.
+type sentNews struct {
+	end int64
+	at  time.Duration
+}
+
+// resendAfter is how long news may be on their way to a follower before they are
+// sent again.
+const resendAfter = time.Second
+
+// newsFor returns the news of topic for a follower that has it up to an offset, less
+// what is on its way to it. The caller holds the lock.
+func (n *neighbours) newsFor(follower, topic string, have int64, now time.Duration) (relay.News, bool) {
+	if n.sent == nil {
+		n.sent = make(map[string]sentNews)
+	}
+	key := follower + " " + topic
+	last, ok := n.sent[key]
+	onTheWay := ok && have >= 0 && last.end > have && now-last.at < resendAfter
+	if onTheWay {
+		have = last.end
+	}
+	news, ok := n.topic(topic).Since(have)
+	if !ok || now-news.ReadAt > relayedAge+readTimeout {
+		return news, false
+	}
+	if len(news.Records) > 0 || !onTheWay {
+		n.sent[key] = sentNews{end: news.End, at: now}
+	}
+	return news, true
+}
+
 // askHubs asks the other hubs to look at servers.
 func (g *Gateway) askHubs(targets []target) {
 	view := g.view.Load()
 	g.neighbours.mu.Lock()
 	defer g.neighbours.mu.Unlock()
 	m := message{From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Probe: targets}
-	for _, front := range relay.Hubs(view.members(g.settings.Front)) {
+	for _, front := range relay.Hubs(g.members(view)) {
 		if h, ok := view.peer(front); ok {
 			g.sendTo(context.Background(), h.Incarnation, h.Peer, h.Secret, m)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,6 +32,8 @@
 	lastEvent string
 	lastAt    time.Time
 	tried     []string
+	// crashes counts the servers that crashed under the call without an answer.
+	crashes int
 }
 
 // serveStream answers a call of a model.
@@ -202,7 +204,7 @@
 	defer cancel(nil)
 	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
 	defer span.End()
-	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), cancel: cancel}
+	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), resent: s.crashes > 0, cancel: cancel}
 	a.lastEvent = a.sentAt
 	g.checkNewWork(replica)
 	g.board.add(a)
@@ -216,7 +218,7 @@
 			g.board.broke(a, time.Now())
 		}
 		if ended == lost && ctx.Err() == nil {
-			g.board.crashed(g.settings.Daemon, replica.Name, a)
+			g.crashed(s, a)
 		}
 		return ended, cause(ctx, err)
 	}
@@ -228,7 +230,7 @@
 		if ctx.Err() == nil {
 			g.board.broke(a, time.Now())
 			if !a.started {
-				g.board.crashed(g.settings.Daemon, replica.Name, a)
+				g.crashed(s, a)
 			}
 		}
 		return lost, cause(ctx, err)
@@ -236,6 +238,12 @@
 	return answered, nil
 }
 
+// crashed notes that a server crashed under an attempt that it had not answered.
+func (g *Gateway) crashed(s *stream, a *attempt) {
+	g.board.crashed(g.settings.Daemon, a)
+	s.crashes++
+}
+
 // cause returns why ctx ended, or err if it did not.
 func cause(ctx context.Context, err error) error {
 	if why := context.Cause(ctx); why != nil {
--- /dev/null
+++ b/gateway/world_test.go
@@ -0,0 +1,262 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hawthornrock/hawthornrock/gateway"
+	"github.com/hawthornrock/hawthornrock/platform/standins"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// A world is a store, workers and daemons on loopback.
+type world struct {
+	t       *testing.T
+	store   *standins.Store
+	address string
+	workers map[string]*standins.Worker
+	daemons []*daemon
+	bounds  site.Bounds
+
+	mu     sync.Mutex
+	faults map[string]standins.Fault
+}
+
+// A daemon is one gateway of a world.
+type daemon struct {
+	gateway *gateway.Gateway
+	front   string
+	ready   string
+	names   string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+// newWorld returns a world with a store.
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{
+		t: t, store: &standins.Store{}, workers: make(map[string]*standins.Worker), faults: make(map[string]standins.Fault),
+		bounds: site.Bounds{
+			Grace: 4 * time.Second, Drain: 2 * time.Second, Apply: 2 * time.Second, Revoke: 5 * time.Second, Stall: time.Second,
+			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
+			CeilingWindow: 5 * time.Second, CeilingOverage: 1.1, Fencing: true,
+		},
+	}
+	w.store.Fault = func(r *http.Request) standins.Fault {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.faults[r.URL.Path]
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w.address = listener.Addr().String()
+	server := &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return w
+}
+
+// fail lets all calls of the store fail, or none.
+func (w *world) fail(fault standins.Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, call := range []string{"log-append", "log-read", "log-newest"} {
+		w.faults["/v1/"+call] = fault
+	}
+}
+
+// worker starts a worker.
+func (w *world) worker(worker *standins.Worker) *standins.Worker {
+	w.t.Helper()
+	worker.Store = w.store
+	if worker.Zone == "" {
+		worker.Zone = "north"
+	}
+	ctx, cancel := context.WithCancel(w.t.Context())
+	ended, err := worker.Start(ctx)
+	require.NoError(w.t, err)
+	w.workers[worker.ID] = worker
+	w.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return worker
+}
+
+// models starts four workers that form two replicas of a model.
+func (w *world) models(misdeed func(*http.Request) standins.Misdeed) {
+	for n := range 4 {
+		w.worker(&standins.Worker{
+			ID: fmt.Sprintf("m%d", n), Service: "models", Domain: "rack", Events: 12, Pause: 10 * time.Millisecond,
+			Join: 50 * time.Millisecond, Misdeed: misdeed,
+		})
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func (w *world) freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// daemon starts a daemon.
+func (w *world) daemon() *daemon {
+	w.t.Helper()
+	s := site.Settings{
+		Daemon: fmt.Sprintf("daemon-%d", len(w.daemons)), FailureDomain: "north", Region: "here", Store: w.address,
+		Front: w.freeAddress(), Ready: w.freeAddress(), Directory: w.freeAddress(), Peer: w.freeAddress(), Metrics: w.freeAddress(),
+		Bounds: w.bounds, FirstRun: true,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+	d := &daemon{
+		gateway: gateway.New(s, logger, noop.NewTracerProvider().Tracer("test")), front: s.Front, ready: s.Ready, names: s.Directory,
+		stop: stop, ended: make(chan error, 1),
+	}
+	go func() { d.ended <- d.gateway.Run(ctx) }()
+	w.daemons = append(w.daemons, d)
+	w.t.Cleanup(func() {
+		stop()
+		select {
+		case err := <-d.ended:
+			require.NoError(w.t, err)
+			require.Zero(w.t, d.gateway.Monitor().Total(), "invariants violated")
+		case <-time.After(10 * time.Second):
+			require.Fail(w.t, "daemon did not stop")
+		}
+	})
+	return d
+}
+
+// configure publishes a configuration with the given version and key.
+func (w *world) configure(version int, key string) {
+	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"limits":{"max_body_bytes":1000},
+"routes":[
+ {"name":"draft","host":"h","path_prefix":"/draft/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"service":"models","max_attempts":3,"resumable":true,"sticky":true},
+ {"name":"buy","host":"h","path_prefix":"/buy/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"plain","max_attempts":1},
+ {"name":"look","host":"h","path_prefix":"/look/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"plain","max_attempts":2},
+ {"name":"deep","host":"h","path_prefix":"/look/deep/","kind":"idempotent","timeout_ms":1500,"service":"plain","max_attempts":1,"anonymous":true}],
+"services":[
+ {"name":"plain","health_path":"/healthz","max_conns":100},
+ {"name":"models","health_path":"/healthz","max_conns":100,"cold_start_s":1,"cold_per_s":50,"engine":{"slots":8,"kv_capacity_tokens":100000,"stride":1,"chunk":2048,
+  "step_ms":5,"per_seq_ms":0.2,"context_per_k":0.01,"read_per_s":46000,"pairs_per_m":0.1,"form_ms":10,"loads_per_s":4,"loads_at_once":6,"usual":{"prompt":100,"answer":20},
+  "models":[{"name":"small","size":2,"share":1,"pace":1,"load_s":0.1,"warm_s":0.05}]}}],
+"tenants":[{"name":"bakers","api_keys":[%q]}]}`, version, key))
+}
+
+// A reply is the answer to a caller.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// A caller sends requests, each with an id of its own.
+type caller struct {
+	w      *world
+	id     int
+	header http.Header
+	client *http.Client
+}
+
+// caller returns a caller of w with the key "k".
+func (w *world) caller() *caller {
+	return &caller{w: w, header: http.Header{}, client: &http.Client{Transport: &http.Transport{}}}
+}
+
+// call sends one request to d and reads its answer.
+func (c *caller) call(ctx context.Context, d *daemon, method, target string, body io.Reader) reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.front+target, body)
+	require.NoError(c.w.t, err)
+	req.Host = "h"
+	c.id++
+	req.Header.Set("X-Hawthornrock-Attempt-Id", fmt.Sprintf("%s-%d", strings.ReplaceAll(c.w.t.Name(), "/", "-"), c.id))
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set("X-Hawthornrock-Deadline-Ms", "4000")
+	if strings.HasPrefix(target, "/draft/") {
+		req.Header.Set("X-Hawthornrock-Model", "small")
+		req.Header.Set("X-Hawthornrock-Token-Usage", "100,60")
+	}
+	for name, values := range c.header {
+		req.Header[name] = values
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+// lastID returns the id of the last request.
+func (c *caller) lastID() string {
+	return fmt.Sprintf("%s-%d", strings.ReplaceAll(c.w.t.Name(), "/", "-"), c.id)
+}
+
+// ran returns how often the last request ran, at all workers.
+func (c *caller) ran() int {
+	total := 0
+	for _, worker := range c.w.workers {
+		total += worker.Runs()[c.lastID()]
+	}
+	return total
+}
+
+// status returns the status of a GET request to address.
+func status(address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// awaitReady waits until d says that it is ready.
+func (w *world) awaitReady(d *daemon) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool { return status(d.ready, "/v1/ready") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+}
+
+// awaitReplicas waits until d serves streams.
+func (w *world) awaitReplicas(d *daemon) {
+	w.t.Helper()
+	c := w.caller()
+	require.Eventually(w.t, func() bool {
+		return c.call(w.t.Context(), d, http.MethodPost, "/draft/warm-up", nil).status == http.StatusOK
+	}, 15*time.Second, 50*time.Millisecond)
+}
+
+// requireWhole checks that an answer has every event once, in order.
+func requireWhole(t *testing.T, r reply, events int) {
+	t.Helper()
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusOK, r.status)
+	require.NotEmpty(t, r.header.Get("X-Hawthornrock-Response-Signature"))
+	want := 1
+	scanner := bufio.NewScanner(strings.NewReader(r.body))
+	for scanner.Scan() {
+		if text, ok := strings.CutPrefix(scanner.Text(), "data: "); ok {
+			require.Equal(t, fmt.Sprintf("token %d", want), text)
+			want++
+		}
+	}
+	require.Equal(t, events+1, want, "events of the answer")
+}
