--- a/gateway/control.go
+++ b/gateway/control.go
@@ -234,7 +234,7 @@
 			c.takeBroken(now, r, err)
 			continue
 		}
-		c.dirty = c.servers.put(now, m.news.ReadAt, r.Offset, s, c.coldFor(s)) || c.dirty
+		c.dirty = c.servers.put(now, r.Offset, s, c.coldFor(s)) || c.dirty
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -95,7 +95,7 @@
 		}
 		return nil, lost, err
 	}
-	return g.judge(c, server, resp)
+	return g.judge(c, resp)
 }
 
 // errForeign means that an answer is not the one to the request that was sent.
@@ -108,7 +108,7 @@
 var errNotRun = errors.New("server did not run the request")
 
 // judge finds out what an answer proves.
-func (g *Gateway) judge(c *call, server site.Server, resp *http.Response) (*http.Response, sign, error) {
+func (g *Gateway) judge(c *call, resp *http.Response) (*http.Response, sign, error) {
 	a := platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	switch {
 	case a.Attempt != "" && a.Attempt != c.request.Attempt:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,6 @@
 	// the last one.
 	term       atomic.Int64
 	led        atomic.Int64
-	serving    sync.WaitGroup
 	board      board
 	neighbours neighbours
 	linkGroup  atomic.Pointer[task.Group]
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -44,7 +44,7 @@
 
 // put takes the entry of s and returns whether anything but its sequence changed.
 // A life that is first seen is cold for coldFor.
-func (r *roster) put(now, sentAt time.Duration, offset int64, s site.Server, coldFor time.Duration) bool {
+func (r *roster) put(now time.Duration, offset int64, s site.Server, coldFor time.Duration) bool {
 	if r.entries == nil {
 		r.entries = make(map[string]entry)
 		r.removed = make(map[string]int64)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,7 +54,7 @@
 			return
 		}
 		c.why = fmt.Sprintf("%s: %v", replica.Name, err)
-		var failure *serverFailure
+		var failure *serverError
 		if ctx.Err() != nil || !g.mayRepeat(c, ended != notRun) {
 			if errors.As(err, &failure) && !s.begun && ctx.Err() == nil {
 				g.passOn(w, c, failure.answer)
@@ -190,11 +190,11 @@
 // coldSpare is the number of daemons that may have come without being known.
 const coldSpare = 2
 
-// A serverFailure is a failure that a server answered with.
-type serverFailure struct{ answer *plainAnswer }
+// A serverError is a failure that a server answered with.
+type serverError struct{ answer *plainAnswer }
 
 // Error returns the status.
-func (f *serverFailure) Error() string { return fmt.Sprintf("server answered %d", f.answer.status) }
+func (f *serverError) Error() string { return fmt.Sprintf("server answered %d", f.answer.status) }
 
 // tryReplica makes one attempt at the rest of s. It returns nil once the caller has
 // the whole answer.
@@ -214,7 +214,7 @@
 		c.ran++
 	}
 	if ended != answered {
-		if !errors.Is(err, errForeign) && context.Cause(ctx) != context.Canceled {
+		if !errors.Is(err, errForeign) && !errors.Is(context.Cause(ctx), context.Canceled) {
 			g.board.broke(a, time.Now())
 		}
 		if ended == lost && ctx.Err() == nil {
@@ -262,7 +262,7 @@
 	if promises(answer.status) {
 		return fmt.Errorf("status %d without proof", answer.status)
 	}
-	return &serverFailure{answer: answer}
+	return &serverError{answer: answer}
 }
 
 // checkNewWork checks, right before work is given, what must hold for it.
