fix: orders that are carried out late harm no replica

A replica does not open while a member may still be taken away, and a head that left an order to open unanswered counts as open until it has left or the time for it is over. Fewer daemons read the store (one in thirty), and less often.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -51,11 +51,19 @@
 	// retired are replicas that are closed so that others can use their servers.
 	retired   map[string]time.Duration
 	retiredAt time.Duration
+	// late are the orders to join that may still be carried out, by server.
+	late map[string]lateJoin
 	// known and grewAt tell when the number of servers last grew.
 	known  int
 	grewAt time.Duration
 }
 
+// A lateJoin is an order to join that was given at a time and not answered.
+type lateJoin struct {
+	epoch int64
+	at    time.Duration
+}
+
 // A hold keeps a server that left group from joining another one until a time at
 // which the head is broken for certain.
 type hold struct {
@@ -83,11 +91,17 @@
 	unlisted bool
 	// absent means that nothing is at its address any more.
 	absent bool
-	// openedAt is when it was last ordered to open, openUnknown that there was no
-	// answer to that, and closedAt when it was last known to have stopped.
-	openedAt    time.Duration
-	openUnknown bool
-	closedAt    time.Duration
+	// openedAt is when it was last ordered to open, unansweredAt when such an order
+	// last got no answer, and closedAt when it was last known to have stopped.
+	openedAt     time.Duration
+	unansweredAt time.Duration
+	closedAt     time.Duration
+}
+
+// mayOpenLate returns whether h may still carry out an order to open that it left
+// unanswered.
+func (h *head) mayOpenLate(now time.Duration) bool {
+	return h.unansweredAt > 0 && now-h.unansweredAt < lateOrder
 }
 
 // closeTime is how long a head takes to stop at once.
@@ -96,6 +110,9 @@
 // mayServe returns whether h may be serving at now, given the state that the list
 // has of it.
 func (h *head) mayServe(now time.Duration, listed site.MemberState) bool {
+	if h.mayOpenLate(now) {
+		return true
+	}
 	stopped := h.closedAt > 0 && h.closedAt >= h.openedAt
 	if listed == site.Open || listed == site.Closing {
 		return !stopped || now-h.closedAt < closeTime
@@ -108,17 +125,23 @@
 	h.absent = h.absent || a == Absent
 	switch action {
 	case Open:
-		h.openUnknown = a == Unknown
+		if a == Unknown {
+			h.unansweredAt = now
+		}
 		if a == Declined || a == Fenced {
 			h.closedAt = now
 		}
 	case Preempt:
-		// A head that declines is not open, unless it opens late.
-		late := h.openUnknown && now-h.openedAt < lateOrder
-		if a == Accepted || a == Declined && !late {
+		// A head that declines is not open.
+		if a == Accepted || a == Declined {
 			h.closedAt = now
 		}
-	case Join, Close, Leave, Stage:
+	case Leave:
+		if a == Accepted {
+			// An order to open does not fit it any more.
+			h.closedAt, h.unansweredAt = now, 0
+		}
+	case Join, Close, Stage:
 	}
 }
 
@@ -142,7 +165,7 @@
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
 		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), held: make(map[string]hold),
-		retired: make(map[string]time.Duration), grewAt: now,
+		retired: make(map[string]time.Duration), late: make(map[string]lateJoin), grewAt: now,
 	}
 }
 
@@ -158,6 +181,9 @@
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
 		h.answered(now, o.Action, a)
 	}
+	if o.Action == Join {
+		p.joinAnswered(now, o, a)
+	}
 	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
 		f.failed = true
 	}
@@ -166,6 +192,28 @@
 	}
 }
 
+// joinAnswered notes whether an order to join may be carried out late. A server
+// that has taken a later one refuses it.
+func (p *Planner) joinAnswered(now time.Duration, o Order, a Answer) {
+	switch {
+	case a == Unknown:
+		p.late[o.Server] = lateJoin{epoch: max(o.Epoch, p.late[o.Server].epoch), at: now}
+	case a == Accepted && o.Epoch >= p.late[o.Server].epoch, a == Absent:
+		delete(p.late, o.Server)
+	}
+}
+
+// mayLeave returns whether a member of r may be taken away by a late order to join
+// another replica.
+func (s *step) mayLeave(r *replica) bool {
+	for _, server := range r.members {
+		if l, ok := s.planner.late[server.ID]; ok && l.epoch > r.epoch && s.now-l.at < lateOrder {
+			return true
+		}
+	}
+	return false
+}
+
 // Step returns the orders to give at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), have: make(map[string]int)}
@@ -230,9 +278,17 @@
 		h = &head{}
 		s.planner.heads[group] = h
 	}
-	if was := h.server.Member.State; ok && (was == site.Open || was == site.Closing) && server.Member.State <= site.Ready {
-		// The list has moved on from open, so that this is news of a close.
-		h.closedAt = s.now
+	was, is := h.server.Member.State, server.Member.State
+	switch {
+	case !ok || was == is:
+	case was == site.Open || was == site.Closing:
+		if is <= site.Ready {
+			// The list has moved on from open, so that this is news of a close.
+			h.closedAt = s.now
+		}
+	case is == site.Open:
+		// And this is news of an order to open that was carried out.
+		h.openedAt = s.now
 	}
 	h.server, h.unlisted = server, false
 }
@@ -298,7 +354,7 @@
 	if first.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
 	}
-	if _, retired := s.planner.retired[r.name]; retired || !ready || first.Member.State != site.Ready {
+	if _, retired := s.planner.retired[r.name]; retired || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
 		return
 	}
 	if s.order(Order{Server: first.ID, Address: first.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
@@ -335,6 +391,9 @@
 		action = Close
 	}
 	s.order(Order{Server: first.ID, Address: first.Address, Action: action, Group: r.name, Epoch: r.epoch})
+	if action == Preempt && h.mayOpenLate(s.now) {
+		s.order(Order{Server: first.ID, Address: first.Address, Action: Leave, Group: r.name, Epoch: r.epoch})
+	}
 }
 
 // leaving returns whether all members of r live and some of them are to go.
@@ -398,7 +457,7 @@
 	}
 	listed, ok := s.fleet.Servers[h.server.ID]
 	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || listed.Member.Group != group)
-	return h.absent || reborn || s.fleet.Dead[h.server.ID] || h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
+	return h.absent || reborn || s.fleet.Dead[h.server.ID] || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
 }
 
 // Unlisted returns the heads that servers are held for: whoever leads finds out
--- a/coordination/relay/hubs.go
+++ b/coordination/relay/hubs.go
@@ -16,7 +16,7 @@
 	fewestHubs = 3
 	// perHub is the number of daemons that one more hub is added for: it sends each
 	// a few messages a second.
-	perHub = 14
+	perHub = 30
 )
 
 // A Member is a daemon that may be a hub. Strength is its share of a processor.
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -19,7 +19,7 @@
 		members = append(members, relay.Member{Name: fmt.Sprintf("daemon-%d", n)})
 	}
 	fmt.Println(len(relay.Hubs(members)), len(relay.Hubs(members[:9])), len(relay.Hubs(members[:1])))
-	// Output: 6 3 1
+	// Output: 3 3 1
 }
 
 func TestHubsAreTheSameInAnyOrder(t *testing.T) {
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -13,10 +13,12 @@
 const (
 	// operatorsWait is how long a read waits for an operator's change. A few of
 	// them fit into the time after which a withdrawn key must not work.
-	operatorsWait = time.Second
+	operatorsWait = 1500 * time.Millisecond
 	// serversInterval is the time between reads of the list of servers, which
-	// changes all the time: a third of the servers' own interval.
-	serversInterval = 400 * time.Millisecond
+	// changes all the time: half of the servers' own interval. Whoever leads reads
+	// it at leaderReads, since replicas wait for it.
+	serversInterval = 700 * time.Millisecond
+	leaderReads     = 300 * time.Millisecond
 	// daemonsInterval is the time between reads of the daemons' heartbeats.
 	daemonsInterval = time.Second
 	// readTimeout bounds a read beyond the time that it may wait. A slow store
@@ -91,6 +93,11 @@
 		g.neighbours.mu.Lock()
 		g.takeFeed(topic, news)
 		g.neighbours.mu.Unlock()
+		if topic == platform.TopicServers && g.term.Load() != 0 {
+			interval = leaderReads
+		} else if topic == platform.TopicServers {
+			interval = serversInterval
+		}
 		sleep(ctx, interval)
 	}
 	return nil
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -15,7 +15,7 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	// heartbeatsPerSecond bounds the heartbeats of all daemons. Where there are more,
 	// hubs tell in between who lives.
-	heartbeatsPerSecond = 10
+	heartbeatsPerSecond = 5
 	// leaderInterval is the time between the heartbeats of the leader.
 	leaderInterval = 600 * time.Millisecond
 	// peerTimeout is how long a daemon counts as alive after its last heartbeat:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -22,7 +22,7 @@
 	statusInterval = 150 * time.Millisecond
 	// statusCost is the time that a hub takes over one follower at most, so that many
 	// followers do not use up its processor.
-	statusCost = 20 * time.Millisecond
+	statusCost = 8 * time.Millisecond
 	// statusAge is how old what a daemon told may be to count: several statuses.
 	statusAge = 1200 * time.Millisecond
 	// hubTimeout is how long a hub may be without an answer before its followers
--- a/standin/service.go
+++ b/standin/service.go
@@ -18,6 +18,8 @@
 	Method   string `json:"method"`
 	Path     string `json:"path"`
 	BodyHash string `json:"body_hash"`
+	// Authorization is the caller's key, if it came with the call.
+	Authorization string `json:"authorization,omitempty"`
 }
 
 // A Ledger counts the runs of calls by the key that they carry in the header
@@ -65,9 +67,13 @@
 	Delay    time.Duration
 }
 
+// slowCall is how long a call takes that asks to be slow.
+const slowCall = 500 * time.Millisecond
+
 // Handler returns the HTTP interface of the service: every call is answered with
 // a ServiceAnswer. Header Stand-In-Fault "drop" runs the call and cuts the
-// connection, "refuse" answers 503 without running it.
+// connection, "refuse" answers 503 without running it, "slow" runs it after a while
+// unless the connection closes before.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serve)
@@ -92,6 +98,14 @@
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
+	if fault == "slow" {
+		// As most servers do, it drops a call whose connection closes.
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(slowCall):
+		}
+	}
 	s.Ledger.Run(r.Header.Get("Stand-In-Call"))
 	time.Sleep(s.Delay)
 	if fault == "drop" {
@@ -99,5 +113,6 @@
 	}
 	rest.Reply(w, http.StatusOK, ServiceAnswer{
 		Instance: s.Instance.Name, Method: r.Method, Path: r.URL.RequestURI(), BodyHash: hex.EncodeToString(hash.Sum(nil)),
+		Authorization: r.Header.Get("Authorization"),
 	})
 }
