feat: a request goes to the better of two replicas drawn at random

Cause: what daemons know of each other's work is a few tenths of a second old, and 72 daemons that all choose the best replica choose the same one: p99 of the first token was 1.6 s at half load. Two drawn at random keep the busiest near the mean.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -110,12 +110,14 @@
 // chosen: the round trip between two domains and a little for its bytes.
 const farCost = 5 * time.Millisecond
 
-// Choose returns the index of the candidate with the earliest first token and
-// that time, -1 if there is none. pick breaks ties within tie; it returns a number
-// below its argument.
+// Choose returns the index of the candidate with the earliest first token among a
+// few that pick draws, and that time, -1 if there is none. pick returns a random
+// number below its argument. What is known of the work of others is a few tenths of
+// a second old: if all daemons took the best of all, they would all take the same.
 func Choose(e *site.Engine, m site.Model, candidates []Candidate, work Work, pick func(int) int) (int, time.Duration) {
 	best, least, ties := -1, time.Duration(math.MaxInt64), 0
-	for i, c := range candidates {
+	for _, i := range draw(len(candidates), drawn, pick) {
+		c := candidates[i]
 		expected := FirstToken(e, m, c, work)
 		if c.Far {
 			expected += farCost
@@ -132,6 +134,23 @@
 	return best, least
 }
 
+// drawn is the number of candidates that are compared. Two keep the busiest replica
+// close to the mean however old the news are.
+const drawn = 2
+
+// draw returns k of the numbers below n, or all if there are no more.
+func draw(n, k int, pick func(int) int) []int {
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	for i := range min(k, n) {
+		j := i + pick(n-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:min(k, n)]
+}
+
 // tie is the difference of expected times below which daemons choose at random,
 // so that they do not all choose the same replica: the accuracy of what is known
 // of the work of others.
