--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -105,7 +105,7 @@
 }
 
 // closeTime is how long a head takes to stop at once.
-const closeTime = time.Second
+const closeTime = 400 * time.Millisecond
 
 // mayServe returns whether h may be serving at now, given the state that the list
 // has of it.
@@ -241,11 +241,15 @@
 	orders   []Order
 }
 
-// usable returns whether s may be a member of a replica that serves.
+// usable returns whether server can be a member of a replica.
 func (s *step) usable(server site.Server) bool {
-	return !server.Draining && !s.fleet.Dead[server.ID] && !s.fleet.Out[server.FailureDomain]
+	return !server.Draining && !s.fleet.Dead[server.ID]
 }
 
+// out returns whether operators took the failure domain of server out of service.
+// Its replicas stay as they are, so that they serve as soon as it is taken back.
+func (s *step) out(server site.Server) bool { return s.fleet.Out[server.FailureDomain] }
+
 // collect puts the servers into their replicas.
 func (s *step) collect() {
 	s.replicas, s.busy = make(map[string]*replica), make(map[string]bool)
@@ -351,6 +355,11 @@
 		s.busy[server.ID] = true
 		ready = ready && server.Member.State >= site.Ready
 	}
+	if s.out(first) {
+		s.have[r.model.Name]--
+		delete(s.planner.forming, r.name)
+		return
+	}
 	if first.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
 	}
@@ -563,7 +572,7 @@
 // gather lists the servers that are free, by their fabric domain.
 func (s *step) gather() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
-		if server := s.fleet.Servers[id]; !s.busy[id] && s.usable(server) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.usable(server) && !s.out(server) {
 			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
 		}
 	}
@@ -812,7 +821,7 @@
 		for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 			server := s.fleet.Servers[id]
 			_, loading := s.planner.loading[id]
-			if s.busy[id] == idle || loading || !s.usable(server) || len(s.planner.loading) >= max(s.fleet.Engine.LoadsAtOnce/restageShare, 1) || !s.mayLoad() {
+			if s.busy[id] == idle || loading || !s.usable(server) || s.out(server) || len(s.planner.loading) >= max(s.fleet.Engine.LoadsAtOnce/restageShare, 1) || !s.mayLoad() {
 				continue
 			}
 			last := s.fleet.Last[id]
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -392,3 +392,16 @@
 		require.NotEmpty(t, b.open())
 	})
 }
+
+// TestDomainComesBack is the pattern of trouble-3: a failure domain is taken out, and
+// back while there is more work than the others can do.
+func TestDomainComesBack(t *testing.T) {
+	b := newBench(t, 2, 8)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	before, given := b.open(), len(b.given)
+	b.fleet.Out["zone"] = true
+	b.run(10 * time.Second)
+	require.Len(t, b.given, given, "nothing is ordered in a domain that is out")
+	require.Equal(t, before, b.open(), "its replicas serve as soon as it is back")
+}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -15,10 +15,18 @@
 )
 
 const (
-	// stallAfter is how long a replica that has work may be without any event to
-	// this daemon before it counts as stalled: several passes of an engine at full
-	// load.
-	stallAfter = 500 * time.Millisecond
+	// shortestStall and longestStall bound how long a replica that writes may be
+	// without any event to any daemon before it counts as stalled: three passes of an
+	// engine at full load, and less than callers wait. In between stallPauses times
+	// its usual pause decides.
+	shortestStall = 300 * time.Millisecond
+	longestStall  = 900 * time.Millisecond
+	stallPauses   = 4
+	// readingStall is the same for one that reads only prompts of this daemon: what
+	// others tell of their events is a few statuses old.
+	readingStall = 700 * time.Millisecond
+	// usualWeight is the weight of one pause in the usual one.
+	usualWeight = 0.1
 	// eventTimeout is how long one stream may be silent beside others that are not,
 	// below the shortest time after which callers give up.
 	eventTimeout = 1700 * time.Millisecond
@@ -55,9 +63,11 @@
 
 // A seat is what is known first-hand of one replica or plain server.
 type seat struct {
-	epoch        int64
-	attempts     map[*attempt]struct{}
-	lastEvent    time.Time
+	epoch     int64
+	attempts  map[*attempt]struct{}
+	lastEvent time.Time
+	// usual is the mean pause between events of one stream.
+	usual        time.Duration
 	suspectUntil time.Time
 	cold         budget.Bucket
 }
@@ -139,6 +149,9 @@
 	defer b.mu.Unlock()
 	pause := now.Sub(a.lastEvent)
 	s := b.seat(a.target)
+	if a.started {
+		s.usual += time.Duration(usualWeight * float64(pause-s.usual))
+	}
 	s.lastEvent, a.lastEvent, a.started = now, now, true
 	s.suspectUntil = time.Time{}
 	return pause
@@ -348,13 +361,21 @@
 	for ctx.Err() == nil {
 		for _, target := range g.board.watch(time.Now()) {
 			g.metrics.events.Add("stalls", 1)
-			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Dur("silent", stallAfter).Msg("replica does not answer")
+			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Msg("replica does not answer")
 		}
 		sleep(ctx, watchInterval)
 	}
 	return nil
 }
 
+// stallLimit returns how long s may be silent.
+func (s *seat) stallLimit() time.Duration {
+	if s.load().Writing == 0 {
+		return readingStall
+	}
+	return min(max(stallPauses*s.usual, shortestStall), longestStall)
+}
+
 // watch ends the attempts that have been silent for too long, and returns the
 // targets that it found stalled: those that were silent to all daemons that have
 // work there.
@@ -366,7 +387,8 @@
 		if len(s.attempts) == 0 {
 			continue
 		}
-		silent := min(now.Sub(s.lastEvent), b.elsewhere(s.epoch, now).Silent) > stallAfter
+		limit := s.stallLimit()
+		silent := min(now.Sub(s.lastEvent), b.elsewhere(s.epoch, now).Silent) > limit
 		if silent && !now.Before(s.suspectUntil) {
 			stalled = append(stalled, target)
 		}
@@ -375,7 +397,7 @@
 				continue
 			}
 			pause := now.Sub(a.lastEvent)
-			if silent && pause > stallAfter || pause > eventTimeout {
+			if silent && pause > limit || pause > eventTimeout {
 				a.cancel(errStalled)
 			}
 		}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -20,7 +20,7 @@
 	serversInterval = 700 * time.Millisecond
 	leaderReads     = 300 * time.Millisecond
 	// daemonsInterval is the time between reads of the daemons' heartbeats.
-	daemonsInterval = time.Second
+	daemonsInterval = 600 * time.Millisecond
 	// readTimeout bounds a read beyond the time that it may wait. A slow store
 	// takes a few hundred milliseconds.
 	readTimeout = 900 * time.Millisecond
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -17,7 +17,7 @@
 	// hubs tell in between who lives.
 	heartbeatsPerSecond = 5
 	// leaderInterval is the time between the heartbeats of the leader.
-	leaderInterval = 600 * time.Millisecond
+	leaderInterval = 450 * time.Millisecond
 	// peerTimeout is how long a daemon counts as alive after its last heartbeat:
 	// two may be lost. It is below the time after which callers must not be sent to
 	// a daemon that has ended.
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -85,8 +85,8 @@
 
 // tenureBounds are the times by which daemons follow each other as leaders. A
 // leader's heartbeats come every leaderInterval, so that two may be lost; the wait
-// leaves half a second for drift of clocks and orders on their way.
-var tenureBounds = tenure.Bounds{Hold: 2 * time.Second, Wait: 2500 * time.Millisecond}
+// leaves time for drift of clocks and orders on their way.
+var tenureBounds = tenure.Bounds{Hold: 1600 * time.Millisecond, Wait: 2 * time.Second}
 
 // readTerms finds out how many terms there were.
 func (c *control) readTerms() {
