--- a/checkcmd.go
+++ b/checkcmd.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/fleet"
 	"github.com/hawthornrock/hawthornrock/state/settings"
 )
@@ -28,7 +29,7 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check [-defaults] FILE...\n\nFiles that end in .yaml or .yml are settings, all others sheets.\n\n" +
+	return "check [-defaults] FILE...\n\nFiles that end in .yaml or .yml are settings, those that end in .toml the platform's\nsettings, all others sheets.\n\n" +
 		"Example:\n  hawthornrock check examples/utility/entry-1.yaml examples/utility/sheet.csv\n\n"
 }
 
@@ -56,8 +57,15 @@
 
 // check checks one file.
 func (c *checkCommand) check(file string) error {
-	if ext := strings.ToLower(filepath.Ext(file)); ext == ".yaml" || ext == ".yml" {
-		if _, err := settings.Read(file); err != nil {
+	var read func(string) error
+	switch strings.ToLower(filepath.Ext(file)) {
+	case ".yaml", ".yml":
+		read = func(file string) error { _, err := settings.Read(file); return err }
+	case ".toml":
+		read = func(file string) error { _, err := platform.ReadSettings(file); return err }
+	}
+	if read != nil {
+		if err := read(file); err != nil {
 			return err
 		}
 		fmt.Fprintf(c.out, "%s: settings are valid\n", file)
--- a/democmd.go
+++ b/democmd.go
@@ -10,12 +10,14 @@
 	"github.com/google/subcommands"
 
 	"github.com/hawthornrock/hawthornrock/demo"
+	platformdemo "github.com/hawthornrock/hawthornrock/platform/demo"
 )
 
 // A demoCommand runs the main job on built-in stand-ins.
 type demoCommand struct {
 	streams
-	asJSON bool
+	asJSON   bool
+	platform bool
 }
 
 // Name implements subcommands.Command.
@@ -26,17 +28,24 @@
 
 // Usage implements subcommands.Command.
 func (*demoCommand) Usage() string {
-	return "demo [-json]\n\nRuns a whole system on loopback, measures it and fails if a promise is broken.\n\n" +
+	return "demo [-json] [-platform]\n\nRuns a whole system on loopback, measures it and fails if a promise is broken.\nWith -platform it runs on stand-ins of the users' platform.\n\n" +
 		"Example:\n  hawthornrock demo -json\n\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *demoCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.asJSON, "json", false, "print one JSON object")
+	f.BoolVar(&c.platform, "platform", false, "run on stand-ins of the users' platform")
 }
 
 // Execute implements subcommands.Command.
 func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.platform {
+		if err := platformdemo.Run(ctx, c.out); err != nil {
+			return c.fail(exitBroken, err)
+		}
+		return exitOK
+	}
 	progress := c.out
 	if c.asJSON {
 		progress = io.Discard
--- a/doctorcmd.go
+++ b/doctorcmd.go
@@ -6,13 +6,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/google/subcommands"
 
+	userplatform "github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/protocol/operator"
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
 	"github.com/hawthornrock/hawthornrock/state/settings"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
 // doctorTimeout bounds each look that the doctor takes.
@@ -55,12 +59,45 @@
 		s   settings.Settings
 		err error
 	)
+	if filepath.Ext(c.file) == ".toml" {
+		return c.lookAtGateway(ctx)
+	}
 	if s, err = settings.Read(c.file); err != nil {
 		return c.fail(exitUsage, err)
 	}
 	c.operator.address = s.Listen.Operators
+	return c.print(c.look(ctx, s))
+}
+
+// lookAtGateway looks for what keeps a daemon on the users' platform from serving.
+func (c *doctorCommand) lookAtGateway(ctx context.Context) subcommands.ExitStatus {
+	var (
+		s    site.Settings
+		page userplatform.Page
+		err  error
+	)
+	if s, err = userplatform.ReadSettings(c.file); err != nil {
+		return c.fail(exitUsage, err)
+	}
+	findings := []finding{{true, "settings", "valid"}}
+	client := &http.Client{Timeout: doctorTimeout}
+	store := userplatform.Store{Address: s.Store, HTTP: client}
+	if page, err = store.Newest(ctx, userplatform.TopicOperators); err != nil {
+		findings = append(findings, finding{false, "store", err.Error()})
+	} else {
+		findings = append(findings, finding{true, "store", fmt.Sprintf("%d records of operators", len(page.Records))})
+	}
+	ready := finding{true, "daemon", "ready at " + s.Ready}
+	if err = rest.Call(ctx, client, http.MethodGet, "http://"+s.Ready+userplatform.PathReady, nil, nil); err != nil {
+		ready = finding{false, "daemon", err.Error()}
+	}
+	return c.print(append(findings, ready))
+}
+
+// print prints findings and returns the exit code that they stand for.
+func (c *doctorCommand) print(findings []finding) subcommands.ExitStatus {
 	code := exitOK
-	for _, f := range c.look(ctx, s) {
+	for _, f := range findings {
 		word := "ok"
 		if !f.ok {
 			word, code = "failed", exitBroken
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,9 @@
 
 // A Gateway is one daemon. Make one with New and run it with Run.
 type Gateway struct {
+	// DroppedLines returns the number of log lines that were dropped, if set.
+	DroppedLines func() int64
+
 	settings    site.Settings
 	incarnation string
 	logger      *log.Logger
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -83,6 +83,9 @@
 	for name, h := range map[string]*histogram{"first_event": &m.firstEvent, "pause": &m.pause, "plain": &m.plain} {
 		vars.Set(name, expvar.Func(func() any { return h.summary() }))
 	}
+	if g.DroppedLines != nil {
+		vars.Set("dropped_lines", expvar.Func(func() any { return g.DroppedLines() }))
+	}
 	vars.Set("in_flight", expvar.Func(func() any { return g.board.total() }))
 	return vars
 }
--- a/gatewaycmd.go
+++ b/gatewaycmd.go
@@ -70,7 +70,9 @@
 	written, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan error, 1)
 	go func() { ended <- out.Run(written) }()
-	err = gateway.New(s, logger, recorder.Tracer()).Run(ctx)
+	g := gateway.New(s, logger, recorder.Tracer())
+	g.DroppedLines = out.Dropped.Load
+	err = g.Run(ctx)
 	cancel()
 	if err = errors.Join(err, <-ended); err != nil {
 		return c.fail(exitFailure, err)
