--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -45,7 +45,7 @@
 	heads    map[string]*head
 	sent     map[string]sentOrder
 	loads    []time.Duration
-	loading  map[string]time.Duration
+	loading  map[string]load
 	// held are servers that left a replica whose head may still be open.
 	held map[string]hold
 	// retired are replicas that are closed so that others can use their servers.
@@ -58,6 +58,12 @@
 	grewAt time.Duration
 }
 
+// A load is a server that loads the weights of a model.
+type load struct {
+	model string
+	at    time.Duration
+}
+
 // A lateJoin is an order to join that was given at a time and not answered.
 type lateJoin struct {
 	epoch int64
@@ -164,7 +170,7 @@
 func New(term int64, now time.Duration) *Planner {
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
-		sent: make(map[string]sentOrder), loading: make(map[string]time.Duration), held: make(map[string]hold),
+		sent: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]time.Duration), late: make(map[string]lateJoin), grewAt: now,
 	}
 }
@@ -236,9 +242,11 @@
 	now      time.Duration
 	replicas map[string]*replica
 	busy     map[string]bool
-	idle     map[string][]site.Server
-	have     map[string]int
-	orders   []Order
+	// serving are the members of replicas that are whole or on their way.
+	serving map[string]bool
+	idle    map[string][]site.Server
+	have    map[string]int
+	orders  []Order
 }
 
 // usable returns whether server can be a member of a replica.
@@ -252,7 +260,7 @@
 
 // collect puts the servers into their replicas.
 func (s *step) collect() {
-	s.replicas, s.busy = make(map[string]*replica), make(map[string]bool)
+	s.replicas, s.busy, s.serving = make(map[string]*replica), make(map[string]bool), make(map[string]bool)
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 		server := s.fleet.Servers[id]
 		m := server.Member
@@ -352,7 +360,7 @@
 		}
 	}
 	for _, server := range r.members {
-		s.busy[server.ID] = true
+		s.busy[server.ID], s.serving[server.ID] = true, true
 		ready = ready && server.Member.State >= site.Ready
 	}
 	if s.out(first) {
@@ -538,7 +546,7 @@
 	}
 	s.have[f.model]++
 	for _, id := range f.members {
-		s.busy[id] = true
+		s.busy[id], s.serving[id] = true, true
 		server := s.fleet.Servers[id]
 		if server.Member.Epoch == f.epoch {
 			continue
@@ -754,9 +762,9 @@
 	return float64(len(p.loads)+1) <= ceiling
 }
 
-// load counts a load that server begins.
-func (s *step) load(server site.Server) {
-	s.planner.loading[server.ID] = s.now
+// load counts a load of m that server begins.
+func (s *step) load(server site.Server, m site.Model) {
+	s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
 	s.planner.loads = append(s.planner.loads, s.now)
 }
 
@@ -773,7 +781,7 @@
 	s.have[m.Name]++
 	for _, server := range members {
 		if s.cost(server, m) >= m.Load {
-			s.planner.loading[server.ID] = s.now
+			s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
 		}
 		s.order(Order{
 			Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: m.Name, Members: f.members,
@@ -791,8 +799,8 @@
 // stage lets free servers that hold no weights load those that their fabric
 // domain is likely to need.
 func (s *step) stage() {
-	for id, at := range s.planner.loading {
-		if server, ok := s.fleet.Servers[id]; !ok || s.now-at > 2*longestLoad(s.fleet.Engine) || s.now-at > loadSeen && !s.onlyOne(server) {
+	for id, l := range s.planner.loading {
+		if server, ok := s.fleet.Servers[id]; !ok || s.now-l.at > 2*longestLoad(s.fleet.Engine) || s.now-l.at > loadSeen && !s.onlyOne(server) {
 			delete(s.planner.loading, id)
 		}
 	}
@@ -807,7 +815,7 @@
 				continue
 			}
 			m := s.spareFor(domain)
-			s.load(server)
+			s.load(server, m)
 			s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
 		}
 	}
@@ -829,8 +837,9 @@
 				continue
 			}
 			if i := slices.IndexFunc(s.fleet.Engine.Models, func(m site.Model) bool { return m.Name != last }); i >= 0 {
-				s.load(server)
-				s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: s.fleet.Engine.Models[i].Name})
+				m := s.fleet.Engine.Models[i]
+				s.load(server, m)
+				s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: m.Name})
 			}
 		}
 	}
@@ -868,24 +877,28 @@
 	}
 }
 
-// spareFor returns the model for a server without weights in domain: the one whose
-// replica it completes with the free servers there, or comes closest to.
+// spareFor returns the model for a server without weights in domain: the one that is
+// needed most for each load that a replica of it still takes there. The need counts
+// twice, since servers that change over for good are lost to the other model.
 func (s *step) spareFor(domain string) site.Model {
-	models := s.needs()
-	return slices.MinFunc(models, func(a, b site.Model) int {
-		return cmp.Compare(s.missing(domain, a), s.missing(domain, b))
+	return slices.MaxFunc(s.needs(), func(a, b site.Model) int {
+		return cmp.Compare(s.need(a)*s.need(a)/s.missing(domain, a), s.need(b)*s.need(b)/s.missing(domain, b))
 	})
 }
 
-// missing returns how many servers of domain a replica of m is short of.
-func (s *step) missing(domain string, m site.Model) int {
-	loading := 0
-	for _, server := range s.idle[domain] {
-		if _, ok := s.planner.loading[server.ID]; ok {
-			loading++
+// missing returns how many loads a replica of m takes in domain, with the servers
+// there that serve in none.
+func (s *step) missing(domain string, m site.Model) float64 {
+	have := 0
+	for id, server := range s.fleet.Servers {
+		if server.FabricDomain != domain || s.serving[id] || !s.usable(server) {
+			continue
+		}
+		if s.cost(server, m) < m.Load || s.planner.loading[id].model == m.Name {
+			have++
 		}
 	}
-	return max(m.Size-len(s.capable(s.idle[domain], m))-loading, 1)
+	return float64(max(m.Size-have%max(m.Size, 1), 1))
 }
 
 // loadSeen is when an order to load shows in the list at the earliest.
