--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
@@ -62,7 +63,7 @@
 // follow reads topic for as long as this daemon is a hub or no hub tells it what
 // is new.
 func (g *Gateway) follow(ctx context.Context, topic string, wait, interval time.Duration) error {
-	expired := false
+	expired, failures := false, 0
 	for ctx.Err() == nil {
 		if !g.readsItself() {
 			sleep(ctx, relayPoll)
@@ -82,10 +83,11 @@
 			if expired = errors.Is(err, platform.ErrExpired); !expired {
 				g.tell(feedFailed{topic: topic, err: err})
 			}
-			sleep(ctx, retryInterval)
+			failures++
+			sleep(ctx, g.backoff(failures))
 			continue
 		}
-		expired = false
+		expired, failures = false, 0
 		news := relay.News{Whole: whole, From: next, End: page.End, ReadAt: sent}
 		for _, r := range page.Records {
 			news.Records = append(news.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
@@ -103,6 +105,23 @@
 	return nil
 }
 
+const (
+	// longestHubBackoff and longestBackoff bound the pause after failed reads. Hubs
+	// try for all, and every call counts, also one that fails.
+	longestHubBackoff = time.Second
+	longestBackoff    = 4 * time.Second
+)
+
+// backoff returns the pause after a number of failed reads in a row.
+func (g *Gateway) backoff(failures int) time.Duration {
+	longest := longestBackoff
+	if g.isHub() {
+		longest = longestHubBackoff
+	}
+	pause := min(retryInterval<<min(failures-1, 6), longest)
+	return pause/2 + rand.N(pause)
+}
+
 // relayPoll is the time between looks at whether the hubs still tell what is new.
 const relayPoll = 100 * time.Millisecond
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -154,7 +154,7 @@
 // lateShare is the part of the time that a caller has left within which a request
 // that has come back is still taken: an answer that is late is worth something,
 // and the stream itself needs the rest.
-const lateShare = 0.25
+const lateShare = 0.5
 
 // overdue is the part of the target beyond which a request is refused that has
 // not come back yet.
