--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -95,12 +95,7 @@
 		g.neighbours.mu.Lock()
 		g.takeFeed(topic, news)
 		g.neighbours.mu.Unlock()
-		if topic == platform.TopicServers && g.term.Load() != 0 {
-			interval = leaderReads
-		} else if topic == platform.TopicServers {
-			interval = serversInterval
-		}
-		sleep(ctx, interval)
+		sleep(ctx, g.readInterval(topic, interval))
 	}
 	return nil
 }
@@ -130,7 +125,33 @@
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.isHub || clock.Boot()-n.newsAt > relayedAge || n.newsAt == 0
+	now := clock.Boot()
+	patience := relayedAge
+	if now-n.answeredAt < hubTimeout {
+		patience = hubsCannotRead
+	}
+	return n.isHub || now-n.newsAt > patience || n.newsAt == 0
+}
+
+const (
+	// hubsCannotRead is how old the last news may be while hubs answer but cannot read
+	// the store: in most cases nobody can. It leaves time to read before a withdrawn
+	// key must not work any more.
+	hubsCannotRead = 3 * time.Second
+	// aloneReads is the time between reads of a daemon that is cut off from the hubs;
+	// the list of servers is read often enough for those that leave.
+	aloneReads = 1100 * time.Millisecond
+)
+
+// readInterval returns the time between reads of topic: usual for a hub.
+func (g *Gateway) readInterval(topic string, usual time.Duration) time.Duration {
+	switch {
+	case usual > 0 && !g.isHub():
+		return aloneReads
+	case topic == platform.TopicServers && g.term.Load() != 0:
+		return leaderReads
+	}
+	return usual
 }
 
 // takeFeed takes news of a topic that this daemon or a hub has read. The caller
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -88,11 +88,13 @@
 	// sent is what followers were sent last, by follower and topic.
 	sent map[string]sentNews
 	// hub is the front address of the hub that this daemon follows, askedAt when it
-	// first went without an answer, and newsAt when the last news came.
+	// turned to it, and newsAt when the last news came.
 	hub     string
 	askedAt time.Duration
 	newsAt  time.Duration
-	isHub   bool
+	// answeredAt is when a hub last answered, with news or without.
+	answeredAt time.Duration
+	isHub      bool
 }
 
 // peerHandler takes the messages of other daemons.
@@ -190,9 +192,9 @@
 		n.hub = ""
 	case order[at] != n.hub:
 		n.hub, n.askedAt = order[0], now
-	case now-max(n.askedAt, n.newsAt) > hubTimeout:
+	case now-max(n.askedAt, n.answeredAt) > hubTimeout:
 		next := order[(at+1)%len(order)]
-		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.newsAt).Msg("hub does not answer")
+		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.answeredAt).Msg("hub does not answer")
 		n.hub, n.askedAt = next, now
 	}
 }
@@ -374,6 +376,7 @@
 	n := &g.neighbours
 	g.board.setElsewhere(m.Sum, time.Now())
 	g.tell(heard{daemons: m.Sum.Daemons, sum: m.Sum})
+	n.answeredAt = now
 	if len(m.News) == len(feeds) {
 		n.newsAt = now
 	}
