fix: a hangup ends no daemon; news from a hub that cannot read are not waited for

A daemon now turns to another hub as soon as one has no news, reads what operators ask for itself after 0.7 s, and the rest only where the store answers it; SIGHUP reads the settings again.

--- a/commands.go
+++ b/commands.go
@@ -60,6 +60,7 @@
 		&publishCommand{streams: s},
 		&rollbackCommand{streams: s},
 		&serveCommand{streams: s},
+		&soakCommand{streams: s},
 		&standinCommand{streams: s},
 		&statusCommand{streams: s},
 		&versionCommand{streams: s},
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -14,7 +14,7 @@
 const (
 	// operatorsWait is how long a read waits for an operator's change. A few of
 	// them fit into the time after which a withdrawn key must not work.
-	operatorsWait = 1500 * time.Millisecond
+	operatorsWait = 500 * time.Millisecond
 	// serversInterval is the time between reads of the list of servers, which
 	// changes all the time: half of the servers' own interval. Whoever leads reads
 	// it at leaderReads, since replicas wait for it.
@@ -65,7 +65,7 @@
 func (g *Gateway) follow(ctx context.Context, topic string, wait, interval time.Duration) error {
 	expired, failures := false, 0
 	for ctx.Err() == nil {
-		if !g.readsItself() {
+		if !g.readsItself(topic) {
 			sleep(ctx, relayPoll)
 			continue
 		}
@@ -93,6 +93,9 @@
 			news.Records = append(news.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 		}
 		g.neighbours.mu.Lock()
+		if topic == platform.TopicOperators {
+			g.neighbours.readAt = clock.Boot()
+		}
 		g.takeFeed(topic, news)
 		g.neighbours.mu.Unlock()
 		sleep(ctx, g.readInterval(topic, interval))
@@ -120,24 +123,24 @@
 // relayPoll is the time between looks at whether the hubs still tell what is new.
 const relayPoll = 100 * time.Millisecond
 
-// readsItself returns whether this daemon reads the store itself.
-func (g *Gateway) readsItself() bool {
+// readsItself returns whether this daemon reads topic itself.
+func (g *Gateway) readsItself(topic string) bool {
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := clock.Boot()
-	patience := relayedAge
-	if now-n.answeredAt < hubTimeout {
-		patience = hubsCannotRead
+	if n.isHub || n.newsAt == 0 {
+		return true
 	}
-	return n.isHub || now-n.newsAt > patience || n.newsAt == 0
+	// Whether the store answers at all is found out by one topic.
+	tries := topic == platform.TopicOperators || now-n.readAt < storeAnswers
+	return now-n.newsAt > relayedAge && tries
 }
 
 const (
-	// hubsCannotRead is how old the last news may be while hubs answer but cannot read
-	// the store: in most cases nobody can. It leaves time to read before a withdrawn
-	// key must not work any more.
-	hubsCannotRead = 3 * time.Second
+	// storeAnswers is how long a daemon's own read of what operators ask for shows
+	// that the store answers it.
+	storeAnswers = 3 * time.Second
 	// aloneReads is the time between reads of a daemon that is cut off from the hubs;
 	// the list of servers is read often enough for those that leave.
 	aloneReads = 1100 * time.Millisecond
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -35,7 +35,7 @@
 func (g *Gateway) retryBudget(service string) *budget.Retries {
 	b, ok := g.retries[service]
 	if !ok {
-		bounds := g.settings.Bounds
+		bounds := g.bounds()
 		b = &budget.Retries{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Span: bounds.RetryWindow}
 		g.retries[service] = b
 	}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -80,7 +80,7 @@
 // no key can have been withdrawn for longer than allowed.
 func (g *Gateway) confirmedLately() bool {
 	at := g.confirmed.Load()
-	return at != 0 && clock.Boot()-time.Duration(at) < g.settings.Bounds.Revoke-revokeMargin
+	return at != 0 && clock.Boot()-time.Duration(at) < g.bounds().Revoke-revokeMargin
 }
 
 // serveCaller answers one request of a caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,13 +56,14 @@
 	leaving   atomic.Bool
 	// term is the term under which this daemon leads, zero if it does not; led is
 	// the last one.
-	term       atomic.Int64
-	led        atomic.Int64
-	board      board
-	neighbours neighbours
-	linkGroup  atomic.Pointer[task.Group]
-	retryMu    sync.Mutex
-	retries    map[string]*budget.Retries
+	term          atomic.Int64
+	led           atomic.Int64
+	board         board
+	boundsInForce atomic.Pointer[site.Bounds]
+	neighbours    neighbours
+	linkGroup     atomic.Pointer[task.Group]
+	retryMu       sync.Mutex
+	retries       map[string]*budget.Retries
 	// beatNow asks for a heartbeat before the next one is due.
 	beatNow chan struct{}
 }
@@ -83,6 +84,7 @@
 		retries:     make(map[string]*budget.Retries),
 		beatNow:     make(chan struct{}, 1),
 	}
+	g.boundsInForce.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(false)}}
 	g.engines = &platform.Engines{HTTP: &http.Client{Transport: newTransport(false), Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{Report: func(p invariant.Promise, message string) {
@@ -167,7 +169,7 @@
 	g.logger.Info().Str("event", "drain").Int("in_flight", g.board.total()).Msg("daemon leaves")
 	g.tell(tick{})
 	g.beat()
-	end := g.settings.Bounds.Grace - drainMargin
+	end := g.bounds().Grace - drainMargin
 	for since := time.Duration(0); since < end; since = clock.Boot() - began {
 		if since >= min(drainListen, end/2) && g.board.total() == 0 {
 			break
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -210,8 +210,8 @@
 	c.probeStalled(now)
 	f := formation.Fleet{
 		Engine: service.Engine, Servers: make(map[string]site.Server), Last: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), Out: c.out,
-		Traffic: c.trafficBegan(), Stall: c.gateway.settings.Bounds.Stall,
-		Ceiling: service.Engine.LoadsPerSecond * c.gateway.settings.Bounds.CeilingWindow.Seconds(), Window: c.gateway.settings.Bounds.CeilingWindow,
+		Traffic: c.trafficBegan(), Stall: c.gateway.bounds().Stall,
+		Ceiling: service.Engine.LoadsPerSecond * c.gateway.bounds().CeilingWindow.Seconds(), Window: c.gateway.bounds().CeilingWindow,
 	}
 	for _, e := range c.servers.all() {
 		if e.server.Service == service.Name && e.goneAt == 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -30,7 +30,11 @@
 	hubTimeout = 700 * time.Millisecond
 	// relayedAge is how old the last news from a hub may be before a daemon reads the
 	// store itself.
-	relayedAge = 1200 * time.Millisecond
+	relayedAge = 700 * time.Millisecond
+	// staleAge is how old the read of a hub may be whose news it passes on: a read that
+	// waited as long as it may, one more on its way, and a slow answer. With relayedAge
+	// it stays below the time within which a configuration must be in force.
+	staleAge = 2*operatorsWait + 300*time.Millisecond
 	// senderIdle is how long an unused link is kept.
 	senderIdle = 5 * time.Second
 )
@@ -91,9 +95,13 @@
 	// turned to it, and newsAt when the last news came.
 	hub     string
 	askedAt time.Duration
-	newsAt  time.Duration
-	// answeredAt is when a hub last answered, with news or without.
+	// dry means that the hub answered without news.
+	dry    bool
+	newsAt time.Duration
+	// answeredAt is when a hub last answered, with news or without, and readAt when
+	// this daemon last read what operators ask for itself.
 	answeredAt time.Duration
+	readAt     time.Duration
 	isHub      bool
 }
 
@@ -192,10 +200,10 @@
 		n.hub = ""
 	case order[at] != n.hub:
 		n.hub, n.askedAt = order[0], now
-	case now-max(n.askedAt, n.answeredAt) > hubTimeout:
+	case n.dry || now-max(n.askedAt, n.newsAt) > hubTimeout:
 		next := order[(at+1)%len(order)]
-		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.answeredAt).Msg("hub does not answer")
-		n.hub, n.askedAt = next, now
+		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.answeredAt).Dur("no_news", now-n.newsAt).Msg("hub does not tell what is new")
+		n.hub, n.askedAt, n.dry = next, now, false
 	}
 }
 
@@ -333,7 +341,7 @@
 		have = last.end
 	}
 	news, ok := n.topic(topic).Since(have)
-	if !ok || now-news.ReadAt > relayedAge+readTimeout {
+	if !ok || now-news.ReadAt > staleAge {
 		return news, false
 	}
 	if len(news.Records) > 0 || !onTheWay {
@@ -379,6 +387,9 @@
 	n.answeredAt = now
 	if len(m.News) == len(feeds) {
 		n.newsAt = now
+	} else if h, ok := g.view.Load().peer(n.hub); ok && h.Incarnation == m.From {
+		// Another hub may reach the store.
+		n.dry = true
 	}
 	for topic, news := range m.News {
 		// What the hub read ReadAt after it had the stamp was read later than that
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -178,7 +178,7 @@
 	if now >= r.ColdUntil || service == nil || service.ColdPerSecond <= 0 {
 		return true
 	}
-	bounds := g.settings.Bounds
+	bounds := g.bounds()
 	s.cold.Rate, s.cold.Burst = budget.ColdShare(service.ColdPerSecond*bounds.ColdOverage+bounds.ColdSlack, daemons+coldSpare)
 	if take {
 		return s.cold.Take(now)
--- a/gatewaycmd.go
+++ b/gatewaycmd.go
@@ -5,8 +5,10 @@
 	"errors"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -72,10 +74,40 @@
 	go func() { ended <- out.Run(written) }()
 	g := gateway.New(s, logger, recorder.Tracer())
 	g.DroppedLines = out.Dropped.Load
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	reloading := make(chan struct{})
+	go func() {
+		defer close(reloading)
+		c.reload(written, g, logger, hangups)
+	}()
 	err = g.Run(ctx)
 	cancel()
+	<-reloading
 	if err = errors.Join(err, <-ended); err != nil {
 		return c.fail(exitFailure, err)
 	}
 	return exitOK
 }
+
+// reload reads the settings again at each hangup until ctx ends. Settings that cannot
+// be read change nothing.
+func (c *gatewayCommand) reload(ctx context.Context, g *gateway.Gateway, logger *log.Logger, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		var (
+			s   site.Settings
+			err error
+		)
+		if s, err = platform.ReadSettings(c.file); err != nil {
+			logger.Error().Str("event", "reload_failed").Err(err).Msg("the settings before stay in force")
+			continue
+		}
+		g.Reload(s)
+	}
+}
--- /dev/null
+++ b/soakcmd.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/platform/soak"
+)
+
+// A soakCommand runs gateway processes under faults.
+type soakCommand struct {
+	streams
+	plan  soak.Plan
+	seeds int
+	log   string
+}
+
+// Name implements subcommands.Command.
+func (*soakCommand) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (*soakCommand) Synopsis() string { return "run daemons of the users' platform under faults" }
+
+// Usage implements subcommands.Command.
+func (*soakCommand) Usage() string {
+	return "soak [-seed N] [-seeds N] [-for D] [flags]\n\nRuns gateway processes on stand-ins, injects faults and checks what callers and workers see.\n\n" +
+		"Example:\n  hawthornrock soak -seed 7 -seeds 3 -for 10s\n\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *soakCommand) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.plan.Seed, "seed", 1, "first seed")
+	f.IntVar(&c.seeds, "seeds", 1, "number of seeds to run, one after the other")
+	f.DurationVar(&c.plan.For, "for", 10*time.Second, "how long faults are injected")
+	f.IntVar(&c.plan.Daemons, "daemons", 4, "gateway processes")
+	f.IntVar(&c.plan.Workers, "workers", 8, "workers that run models")
+	f.IntVar(&c.plan.Callers, "callers", 12, "callers")
+	f.StringVar(&c.log, "log", "", "file for what the daemons write")
+}
+
+// Execute implements subcommands.Command.
+func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var err error
+	if c.plan.Program, err = os.Executable(); err != nil {
+		return c.fail(exitFailure, err)
+	}
+	c.plan.Log = io.Discard
+	if c.log != "" {
+		var file *os.File
+		if file, err = os.Create(c.log); err != nil {
+			return c.fail(exitFailure, err)
+		}
+		defer file.Close()
+		c.plan.Log = file
+	}
+	code := exitOK
+	for range c.seeds {
+		var findings []string
+		if findings, err = soak.Run(ctx, c.plan); err != nil {
+			return c.fail(exitFailure, fmt.Errorf("seed %d: %w", c.plan.Seed, err))
+		}
+		fmt.Fprintf(c.out, "seed %d: %d findings\n", c.plan.Seed, len(findings))
+		for _, finding := range findings {
+			code = exitBroken
+			fmt.Fprintln(c.out, " ", finding)
+		}
+		c.plan.Seed++
+	}
+	return code
+}
