fix: a cold server has a few daemons of its own in large deployments

Cause: a test of shares found that 72 daemons would either send nothing to a cold server or more than it bears. Where there are more than eight daemons each cold server now has eight that may send to it.

--- a/coordination/budget/bucket.go
+++ b/coordination/budget/bucket.go
@@ -1,6 +1,10 @@
 package budget
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // A Bucket lets Rate events a second pass, and Burst at once. It is not safe for
 // concurrent use.
@@ -23,12 +27,40 @@
 	return true
 }
 
-// ColdShare returns the rate and burst of one of daemons daemons, so that all of
-// them together send a cold server no more than perSecond in any second.
-func ColdShare(perSecond float64, daemons int) (rate, burst float64) {
-	share := perSecond / float64(max(daemons, 1))
+const (
+	// coldSenders is the most daemons that send to one cold server. Where there are
+	// more, each server has its own few, so that a share is worth something.
+	coldSenders = 8
+	// coldSpare is the number of daemons that may have come without being known.
+	coldSpare = 2
+)
+
+// SendsCold returns whether self is one of the daemons of members that may send to
+// a cold server.
+func SendsCold(self, server string, members []string) bool {
+	if len(members) <= coldSenders {
+		return true
+	}
+	own, before := weight(self, server), 0
+	for _, m := range members {
+		if m != self && weight(m, server) > own {
+			before++
+		}
+	}
+	return before < coldSenders
+}
+
+// weight returns the rendezvous weight of daemon for server.
+func weight(daemon, server string) uint64 { return xxhash.Sum64String(daemon + "\x00" + server) }
+
+// ColdShare returns the rate and burst of one of those that may send to a cold server
+// where there are members daemons, so that all of them together send no more than
+// perSecond in any second.
+func ColdShare(perSecond float64, members int) (rate, burst float64) {
+	share := perSecond / float64(min(max(members, 1), coldSenders)+coldSpare)
 	if share < 2 {
-		return share / 2, min(1, share/2+0.5)
+		// One at once, and the rest of the share over time; below one there is no share.
+		return max(share-1, 0), min(float64(int(share)), 1)
 	}
 	burst = float64(int(share / 2))
 	return share - burst, burst
--- /dev/null
+++ b/coordination/budget/budget_test.go
@@ -0,0 +1,97 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/budget"
+)
+
+func ExampleRetries() {
+	r := budget.Retries{Ratio: 0.2, Slack: 10, Span: 10 * time.Second}
+	for range 20 {
+		r.Request(0)
+	}
+	taken := 0
+	for r.Take(time.Second, 2) {
+		taken++
+	}
+	fmt.Println(taken)
+	// Output: 7
+}
+
+// TestRetriesOfAllDaemons lets daemons spend their shares at random, and checks
+// every window.
+func TestRetriesOfAllDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 10 * time.Second
+		daemons := rapid.IntRange(1, 9).Draw(t, "daemons")
+		shares := make([]budget.Retries, daemons)
+		for i := range shares {
+			shares[i] = budget.Retries{Ratio: 0.2, Slack: 130, Span: span}
+		}
+		var repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			share := &shares[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.Bool().Draw(t, "request") {
+				share.Request(now)
+			} else if share.Take(now, daemons) {
+				repeats = append(repeats, now)
+			}
+		}
+		for i, from := range repeats {
+			n := 0
+			for _, at := range repeats[i:] {
+				if at-from < span {
+					n++
+				}
+			}
+			// Requests are at most the steps of two windows.
+			require.LessOrEqual(t, float64(n), 0.2*400+130)
+		}
+	})
+}
+
+// TestColdShares checks that all daemons together send a cold server no more than it
+// bears in any second, also where two have come that the others do not know, and that
+// it gets work.
+func TestColdShares(t *testing.T) {
+	for _, daemons := range []int{1, 9, 11, 72, 390} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			const perSecond = 59
+			var members []string
+			for n := range daemons {
+				members = append(members, fmt.Sprint("daemon-", n))
+			}
+			rate, burst := budget.ColdShare(perSecond, daemons)
+			senders := 0
+			for _, self := range members {
+				if budget.SendsCold(self, "server", members) {
+					senders++
+				}
+			}
+			require.Positive(t, senders)
+			require.LessOrEqual(t, (rate+burst)*float64(senders+2), perSecond+0.01)
+			require.GreaterOrEqual(t, burst, 1.0)
+		})
+	}
+}
+
+func TestBucket(t *testing.T) {
+	b := budget.Bucket{Rate: 2, Burst: 3}
+	taken := 0
+	for range 10 {
+		if b.Take(0) {
+			taken++
+		}
+	}
+	require.Equal(t, 3, taken)
+	require.False(t, b.Take(400*time.Millisecond))
+	require.True(t, b.Take(600*time.Millisecond))
+}
--- /dev/null
+++ b/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,86 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// engine is an engine like those of today's deployments.
+var engine = &site.Engine{
+	Slots: 26, Stride: 5, Chunk: 2048, Step: 6070 * time.Microsecond, StepPerRequest: 241 * time.Microsecond, ReadPerSecond: 46_000, UsualAnswer: 116,
+}
+
+// model is a model at the engine's own pace.
+var model = site.Model{Name: "large", Pace: 1}
+
+func ExampleFirstToken() {
+	work := dispatch.Work{Model: "large", Prompt: 1460, Answer: 135}
+	idle := dispatch.FirstToken(engine, model, dispatch.Candidate{}, work)
+	busy := dispatch.FirstToken(engine, model, dispatch.Candidate{Load: dispatch.Load{Writing: 13, Waiting: 2, Tokens: 3000}}, work)
+	fmt.Println(idle.Round(time.Millisecond), busy.Round(time.Millisecond))
+	// Output: 32ms 258ms
+}
+
+func TestFirstToken(t *testing.T) {
+	work := dispatch.Work{Prompt: 1000}
+	base := dispatch.Candidate{Load: dispatch.Load{Writing: 10, Waiting: 1, Tokens: 1000}}
+	for _, tc := range []struct {
+		name   string
+		change func(*dispatch.Candidate)
+	}{
+		{"more_prompts_wait", func(c *dispatch.Candidate) { c.Load.Tokens += 2000 }},
+		{"more_write", func(c *dispatch.Candidate) { c.Load.Writing += 10 }},
+		{"no_slot_is_free", func(c *dispatch.Candidate) { c.Load.Writing = 30 }},
+		{"slower_than_published", func(c *dispatch.Candidate) { c.Slowness = 2 }},
+		{"silent_for_long", func(c *dispatch.Candidate) { c.Silent = time.Second }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			worse := base
+			tc.change(&worse)
+			require.Greater(t, dispatch.FirstToken(engine, model, worse, work), dispatch.FirstToken(engine, model, base, work))
+		})
+	}
+}
+
+// TestHerd is the pattern of quiet-1 of the grown utility: many daemons choose among
+// replicas by news that are older than the time between two requests. If all took
+// the best of all replicas, the busiest would get many times the mean.
+func TestHerd(t *testing.T) {
+	const replicas, requests, newsEvery = 18, 1800, 60
+	random := rand.New(rand.NewPCG(1, 2))
+	var (
+		loads [replicas]int
+		seen  [replicas]int
+		worst int
+	)
+	for n := range requests {
+		if n%newsEvery == 0 {
+			// Half of the work has ended since the last news.
+			for i := range loads {
+				loads[i] /= 2
+			}
+			seen = loads
+		}
+		candidates := make([]dispatch.Candidate, replicas)
+		for i := range candidates {
+			candidates[i].Load = dispatch.Load{Writing: seen[i]}
+		}
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, random.IntN)
+		loads[i]++
+		worst = max(worst, loads[i])
+	}
+	mean := float64(2*newsEvery) / replicas
+	require.Less(t, float64(worst), 3*mean, "requests at the busiest replica")
+}
+
+func TestChooseWithoutCandidates(t *testing.T) {
+	i, _ := dispatch.Choose(engine, model, nil, dispatch.Work{}, rand.IntN)
+	require.Equal(t, -1, i)
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -364,6 +364,7 @@
 func (c *control) publishDaemons(v *View) {
 	for _, key := range slices.Sorted(maps.Keys(c.daemons)) {
 		h := c.daemons[key].Heartbeat
+		v.Fronts = append(v.Fronts, key)
 		if h.Ready && !h.Leaving && key != c.gateway.settings.Front {
 			v.Addresses = append(v.Addresses, h.Front)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -179,7 +179,10 @@
 		return true
 	}
 	bounds := g.bounds()
-	s.cold.Rate, s.cold.Burst = budget.ColdShare(service.ColdPerSecond*bounds.ColdOverage+bounds.ColdSlack, daemons+coldSpare)
+	if !budget.SendsCold(g.settings.Front, r.Head.ID, g.view.Load().Fronts) {
+		return false
+	}
+	s.cold.Rate, s.cold.Burst = budget.ColdShare(service.ColdPerSecond*bounds.ColdOverage+bounds.ColdSlack, daemons)
 	if take {
 		return s.cold.Take(now)
 	}
@@ -187,9 +190,6 @@
 	return trial.Take(now)
 }
 
-// coldSpare is the number of daemons that may have come without being known.
-const coldSpare = 2
-
 // A serverError is a failure that a server answered with.
 type serverError struct{ answer *plainAnswer }
 
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -34,6 +34,8 @@
 	Plain map[string][]site.Server
 	// Addresses are those of the daemons that callers may use.
 	Addresses []string
+	// Fronts names all daemons that are known.
+	Fronts []string
 	// Daemons is the number of daemons that may be sending, at least 1.
 	Daemons int
 	// Peers holds the other daemons, by incarnation.
