--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -182,8 +182,10 @@
 		return false
 	}
 	listed, ok := s.fleet.Servers[h.server.ID]
+	// One that is still listed lives, and may serve those who reach it.
+	gone := s.fleet.Dead[h.server.ID] && !ok
 	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || listed.Member.Group != group)
-	return h.absent || reborn || s.fleet.Dead[h.server.ID] || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
+	return h.absent || reborn || gone || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
 }
 
 // Unlisted returns the heads that servers are held for: whoever leads finds out
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -323,6 +323,25 @@
 	require.NotEmpty(t, b.open(), "the others serve again")
 }
 
+// TestHeadCutOff is seed 10 of the soak: a head that no daemon reaches is still listed,
+// so that it lives and may serve.
+func TestHeadCutOff(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	head, others := b.head("large")
+	b.dark[head], b.fleet.Dead[head] = true, true
+	before := len(b.given)
+	b.run(b.fleet.Stall)
+	for _, o := range b.given[before:] {
+		require.False(t, o.Action == formation.Join && slices.Contains(others, o.Server), "%s joins while its head may be open", o.Server)
+	}
+	delete(b.fleet.Servers, head)
+	delete(b.actual, head)
+	b.run(5 * time.Second)
+	require.NotEmpty(t, b.open(), "the others serve again once the head is not listed any more")
+}
+
 func TestServersOfDomainsThatAreOutAreLeftAlone(t *testing.T) {
 	b := newBench(t, 2, 4)
 	b.fleet.Out["zone"] = true
