--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -83,7 +83,7 @@
 
 // usualBatch is the number of requests that a replica is taken to run at once where
 // work is compared: half of what the engines of today's deployments run.
-const usualBatch = 13
+const usualBatch = 26
 
 // Busy returns how long work keeps a replica of m busy that runs a usual batch.
 func Busy(e *site.Engine, m site.Model, work Work) time.Duration {
@@ -92,6 +92,23 @@
 	return time.Duration((reading + float64(work.Answer)*step) * m.Pace)
 }
 
+const (
+	// easyShare is the part of its target within which a first token may be expected
+	// for a request to press no more than its work.
+	easyShare = 0.5
+	// greatestPressure bounds how much a request that waits too long counts for.
+	greatestPressure = 4
+)
+
+// Pressure returns how many times its work a request counts for where replicas are
+// given to models: the more, the later its first token is expected.
+func Pressure(expected, target time.Duration) float64 {
+	if target <= 0 {
+		return 1
+	}
+	return min(1+max(float64(expected)/float64(target)-easyShare, 0), greatestPressure)
+}
+
 // pass returns the time of the steps that an engine makes between two chunks.
 func pass(e *site.Engine, writing int) time.Duration {
 	return time.Duration(e.Stride) * (e.Step + time.Duration(writing)*e.StepPerRequest)
--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -69,7 +69,7 @@
 		for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 			server := s.fleet.Servers[id]
 			_, loading := s.planner.loading[id]
-			if s.busy[id] == idle || loading || !s.usable(server) || s.out(server) || len(s.planner.loading) >= max(s.fleet.Engine.LoadsAtOnce/restageShare, 1) || !s.mayLoad() {
+			if s.busy[id] == idle || loading || !s.usable(server) || s.out(server) || !s.mayLoad() {
 				continue
 			}
 			last := s.fleet.Last[id]
@@ -85,10 +85,6 @@
 	}
 }
 
-// restageShare divides the loads at once: the rest is kept for servers that have
-// nothing loaded.
-const restageShare = 2
-
 // stageOthers lets members that have loaded put a model that they do not run onto
 // their hosts, so that they can change over without a load, and lets the servers
 // that are left over take one. It is free only before callers come. A member that
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -111,12 +111,10 @@
 	return news
 }
 
-// Acquit clears a suspect that ran without crashing its server.
-func (r *Register) Acquit(now time.Time, f Fingerprint) {
-	if r.Verdict(now, f) == Suspect {
-		delete(r.strikes, f)
-	}
-}
+// Acquit clears a request that ran to its end without crashing its server. One that
+// was convicted meanwhile by servers that crashed for reasons of their own is innocent
+// as well.
+func (r *Register) Acquit(f Fingerprint) { delete(r.strikes, f) }
 
 // Rank returns the place of f among all suspects of its last crash, of all daemons.
 // Suspects run one after the other in this order, so that a second crash tells
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -22,7 +22,7 @@
 func (c *crashes) acquit(f quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.register.Acquit(time.Now(), f)
+	c.register.Acquit(f)
 }
 
 // add takes a crash report.
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -198,10 +198,9 @@
 // second, the noise of single requests does not.
 const askedWindow = 3 * time.Second
 
-// ask counts work that a caller asked of a model, in seconds of a replica.
+// ask counts work that a caller asked of a model, in seconds of a replica. The
+// caller holds the lock.
 func (b *board) ask(now time.Duration, model string, work time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if b.asked == nil {
 		b.asked = make(map[string]*budget.Window)
 	}
@@ -304,21 +303,37 @@
 	return crashes
 }
 
-// crashed notes that a server crashed under a.
-func (b *board) crashed(daemon string, a *attempt) {
+// crash returns the crash of a server under a, with all requests that it had not
+// answered.
+func (b *board) crash(daemon string, a *attempt) quarantine.Crash {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	crash := quarantine.Crash{Daemon: daemon, Server: a.target, Episode: a.target}
+	crash := quarantine.Crash{Daemon: daemon, Server: a.target, Episode: a.target, Suspects: []quarantine.Fingerprint{a.fingerprint}}
 	if a.resent {
 		crash.Resent = a.fingerprint
 	}
 	for other := range b.seat(a.target).attempts {
-		if !other.started {
+		if !other.started && other.fingerprint != a.fingerprint {
 			crash.Suspects = append(crash.Suspects, other.fingerprint)
 		}
 	}
-	if len(crash.Suspects) == 0 {
+	return crash
+}
+
+// writes returns whether the server of a was writing to anybody.
+func (b *board) writes(a *attempt) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seat(a.target).load().Writing+b.elsewhere(a.epoch, time.Now()).Load.Writing > 0
+}
+
+// confirm counts a crash that was seen at a time, unless the server of a has given
+// somebody an event since: then it lost an answer only.
+func (b *board) confirm(crash quarantine.Crash, a *attempt, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if now.Sub(at) > 0 && (b.seat(a.target).lastEvent.After(at) || b.elsewhere(a.epoch, now).Silent < now.Sub(at)) {
 		return
 	}
 	if b.register.Add(now, crash) {
@@ -353,7 +368,7 @@
 func (b *board) acquit(f quarantine.Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.register.Acquit(time.Now(), f)
+	b.register.Acquit(f)
 }
 
 // runWatch ends attempts whose replica has stalled, so that they go on elsewhere.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -104,9 +104,6 @@
 		return Replica{}, &refusal{status: http.StatusBadRequest, reason: "unknown_model"}
 	}
 	b := &g.board
-	if c.sent == 0 {
-		b.ask(clock.Boot(), model.Name, dispatch.Busy(c.service.Engine, model, c.request.Work))
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var (
@@ -127,6 +124,10 @@
 		})
 	}
 	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, rand.IntN)
+	if c.sent == 0 {
+		busy := dispatch.Busy(c.service.Engine, model, c.request.Work)
+		b.ask(clock.Boot(), model.Name, time.Duration(dispatch.Pressure(expected, c.route.Target)*float64(busy)))
+	}
 	if i < 0 {
 		return Replica{}, notServed("no_replica")
 	}
@@ -240,10 +241,24 @@
 
 // crashed notes that a server crashed under an attempt that it had not answered.
 func (g *Gateway) crashed(s *stream, a *attempt) {
-	g.board.crashed(g.settings.Daemon, a)
 	s.crashes++
+	crash, at := g.board.crash(g.settings.Daemon, a), time.Now()
+	if !g.board.writes(a) {
+		// Nobody would see it live.
+		g.board.confirm(crash, a, at)
+		return
+	}
+	g.work.Go(context.Background(), "crash", func(ctx context.Context) error {
+		sleep(ctx, aliveAfter)
+		g.board.confirm(crash, a, at)
+		return nil
+	})
 }
 
+// aliveAfter is how long a server has to show that it only lost an answer: a few of
+// its passes, and statuses of the daemons that have streams there.
+const aliveAfter = 200 * time.Millisecond
+
 // cause returns why ctx ended, or err if it did not.
 func cause(ctx context.Context, err error) error {
 	if why := context.Cause(ctx); why != nil {
