--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -104,8 +104,8 @@
 	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
 		f.failed = true
 	}
-	if a != Accepted && a != Unknown && !(o.Action == Stage && a == Declined) {
-		// One that declines to load is loading already.
+	// One that declines to load is loading already.
+	if a != Accepted && a != Unknown && (o.Action != Stage || a != Declined) {
 		delete(p.loading, o.Server)
 	}
 }
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -166,6 +166,13 @@
 	s.suspectUntil = now.Add(suspectFor)
 }
 
+// answers takes back that new work is kept from target.
+func (b *board) answers(target string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seat(target).suspectUntil = time.Time{}
+}
+
 // enter counts a request of a caller.
 func (b *board) enter() {
 	b.mu.Lock()
@@ -320,23 +327,11 @@
 	return crash
 }
 
-// writes returns whether the server of a was writing to anybody.
-func (b *board) writes(a *attempt) bool {
+// confirm counts a crash.
+func (b *board) confirm(crash quarantine.Crash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.seat(a.target).load().Writing+b.elsewhere(a.epoch, time.Now()).Load.Writing > 0
-}
-
-// confirm counts a crash that was seen at a time, unless the server of a has given
-// somebody an event since: then it lost an answer only.
-func (b *board) confirm(crash quarantine.Crash, a *attempt, at time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	if now.Sub(at) > 0 && (b.seat(a.target).lastEvent.After(at) || b.elsewhere(a.epoch, now).Silent < now.Sub(at)) {
-		return
-	}
-	if b.register.Add(now, crash) {
+	if now := time.Now(); b.register.Add(now, crash) {
 		b.crashes = append(b.crashes, toldCrash{crash: crash, at: now})
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,6 +19,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
@@ -219,7 +220,7 @@
 			g.board.broke(a, time.Now())
 		}
 		if ended == lost && ctx.Err() == nil {
-			g.crashed(s, a)
+			g.crashed(s, a, replica.Head)
 		}
 		return ended, cause(ctx, err)
 	}
@@ -230,35 +231,31 @@
 	if err = g.relay(s, a, resp); err != nil {
 		if ctx.Err() == nil {
 			g.board.broke(a, time.Now())
-			if !a.started {
-				g.crashed(s, a)
-			}
+			g.crashed(s, a, replica.Head)
 		}
 		return lost, cause(ctx, err)
 	}
 	return answered, nil
 }
 
-// crashed notes that a server crashed under an attempt that it had not answered.
-func (g *Gateway) crashed(s *stream, a *attempt) {
-	s.crashes++
-	crash, at := g.board.crash(g.settings.Daemon, a), time.Now()
-	if !g.board.writes(a) {
-		// Nobody would see it live.
-		g.board.confirm(crash, a, at)
+// crashed finds out whether the head of a replica crashed under an attempt whose
+// connection broke. One that answers in the same life has lost an answer only, and may
+// get new work at once.
+func (g *Gateway) crashed(s *stream, a *attempt, head site.Server) {
+	crash := g.board.crash(g.settings.Daemon, a)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	g.metrics.events.Add("probes", 1)
+	if now, err := g.engines.Report(ctx, head); err == nil && now.Born == head.Born {
+		g.board.answers(a.target)
 		return
 	}
-	g.work.Go(context.Background(), "crash", func(ctx context.Context) error {
-		sleep(ctx, aliveAfter)
-		g.board.confirm(crash, a, at)
-		return nil
-	})
+	if !a.started {
+		s.crashes++
+		g.board.confirm(crash)
+	}
 }
 
-// aliveAfter is how long a server has to show that it only lost an answer: a few of
-// its passes, and statuses of the daemons that have streams there.
-const aliveAfter = 200 * time.Millisecond
-
 // cause returns why ctx ended, or err if it did not.
 func cause(ctx context.Context, err error) error {
 	if why := context.Cause(ctx); why != nil {
