--- a/gateway/board.go
+++ b/gateway/board.go
@@ -39,6 +39,8 @@
 	crashesKept = 8
 	// crashesTold is how long a status tells of a crash.
 	crashesTold = 10 * time.Second
+	// completedKept bounds the requests whose end is kept: a minute of a busy daemon.
+	completedKept = 4096
 	// convictedFor is how long a request that crashes servers is refused.
 	convictedFor = time.Minute
 )
@@ -87,6 +89,8 @@
 	hadWork  bool
 	register quarantine.Register
 	crashes  []toldCrash
+	// completed holds when requests last ran to their end here.
+	completed map[quarantine.Fingerprint]time.Time
 	// others is the work of all other daemons, as of othersAt.
 	others   relay.Sum
 	othersAt time.Time
@@ -327,28 +331,28 @@
 	return crash
 }
 
-// confirm counts a crash.
+// confirm counts a crash that this daemon saw, or heard of from another one, and
+// tells others of it if it is news.
 func (b *board) confirm(crash quarantine.Crash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now := time.Now(); b.register.Add(now, crash) {
+	b.seat("")
+	delete(b.seats, "")
+	now := time.Now()
+	// What has run to its end here does not crash servers.
+	crash.Suspects = slices.DeleteFunc(slices.Clone(crash.Suspects), func(f quarantine.Fingerprint) bool {
+		at, ok := b.completed[f]
+		return ok && now.Sub(at) < convictedFor
+	})
+	if len(crash.Suspects) > 0 && b.register.Add(now, crash) {
 		b.crashes = append(b.crashes, toldCrash{crash: crash, at: now})
 	}
 }
 
 // convicted takes crashes that another daemon saw.
 func (b *board) convicted(crashes []quarantine.Crash) {
-	if len(crashes) == 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.seat("")
-	delete(b.seats, "")
 	for _, c := range crashes {
-		if b.register.Add(time.Now(), c) {
-			b.crashes = append(b.crashes, toldCrash{crash: c, at: time.Now()})
-		}
+		b.confirm(c)
 	}
 }
 
@@ -364,6 +368,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.register.Acquit(f)
+	if b.completed == nil || len(b.completed) >= completedKept {
+		b.completed = make(map[quarantine.Fingerprint]time.Time)
+	}
+	b.completed[f] = time.Now()
 }
 
 // runWatch ends attempts whose replica has stalled, so that they go on elsewhere.
--- /dev/null
+++ b/gateway/roster_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// listed returns a roster with one server that was written at offset 10.
+func listed() *roster {
+	r := &roster{}
+	r.put(0, 10, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 3}, 0)
+	return r
+}
+
+func TestRoster(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(r *roster)
+		want bool
+		at   time.Duration
+	}{
+		{"listed", func(*roster) {}, true, 0},
+		{"removed", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 11}) }, false, 0},
+		{"removed_before", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 9}) }, true, 0},
+		{"lapsed_while_the_store_was_away", func(r *roster) {
+			r.storeReturned(0)
+			r.remove(0, relay.Record{Key: "s", Offset: 11})
+		}, true, time.Second},
+		{"lapsed_and_not_back", func(r *roster) {
+			r.storeReturned(0)
+			r.remove(0, relay.Record{Key: "s", Offset: 11})
+		}, false, lapsedGrace},
+		{"lapsed_and_back", func(r *roster) {
+			r.storeReturned(0)
+			r.remove(0, relay.Record{Key: "s", Offset: 11})
+			r.put(time.Second, 12, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 4}, 0)
+		}, true, lapsedGrace},
+		{"leaving_when_it_lapsed", func(r *roster) {
+			r.put(0, 11, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 4, Draining: true}, 0)
+			r.storeReturned(0)
+			r.remove(0, relay.Record{Key: "s", Offset: 12})
+		}, false, 0},
+		{"not_among_the_newest", func(r *roster) { r.reset(0, relay.News{End: 20}) }, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := listed()
+			tc.do(r)
+			r.expire(tc.at)
+			require.Equal(t, tc.want, len(r.all()) == 1)
+		})
+	}
+}
+
+func TestRosterLives(t *testing.T) {
+	r := listed()
+	require.False(t, r.put(0, 12, site.Server{ID: "s", Address: "old", Born: 4, Sequence: 9}, 0), "an earlier life")
+	require.False(t, r.put(0, 13, site.Server{ID: "s", Address: "a", Born: 5, Sequence: 2}, 0), "an entry that was held up")
+	require.True(t, r.put(0, 14, site.Server{ID: "s", Address: "b", Born: 6}, time.Second))
+	require.Equal(t, "b", r.entries["s"].server.Address)
+	require.Equal(t, time.Second, r.entries["s"].coldUntil, "a life that is first seen is cold")
+}
