--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -81,14 +81,10 @@
 	return time.Duration((reading + float64(pass(e, e.Slots))) * m.Pace)
 }
 
-// usualBatch is the number of requests that a replica is taken to run at once where
-// work is compared: half of what the engines of today's deployments run.
-const usualBatch = 26
-
-// Busy returns how long work keeps a replica of m busy that runs a usual batch.
+// Busy returns how long work keeps a replica of m busy that runs a full batch.
 func Busy(e *site.Engine, m site.Model, work Work) time.Duration {
 	reading := float64(work.Prompt) / max(e.ReadPerSecond, 1) * float64(time.Second)
-	step := float64(e.Step)/usualBatch + float64(e.StepPerRequest)
+	step := float64(e.Step)/float64(max(e.Slots, 1)) + float64(e.StepPerRequest)
 	return time.Duration((reading + float64(work.Answer)*step) * m.Pace)
 }
 
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -161,8 +161,8 @@
 	return pause
 }
 
-// broke keeps new work from the target of a after a connection to it broke, and
-// returns the requests that it was running without having answered.
+// broke keeps new work from the target of a for a while after a connection to it
+// broke.
 func (b *board) broke(a *attempt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -102,7 +102,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		platform.ReplyAddresses(w, addresses, directoryTTL)
+		platform.ReplyAddresses(w, addresses, min(directoryTTL, max(g.bounds().DirectoryTTL, time.Second)))
 	})
 	return mux
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isHub = contains(hubs, g.settings.Front); n.isHub {
+	if n.isHub = slices.Contains(hubs, g.settings.Front); n.isHub {
 		m := message{From: g.incarnation, Sum: g.sumBelow(now), Crashes: g.board.lateCrashes(time.Now())}
 		for _, front := range hubs {
 			if h, ok := view.peer(front); ok {
@@ -189,12 +190,7 @@
 // holds the lock.
 func (g *Gateway) chooseHub(order []string, now time.Duration) {
 	n := &g.neighbours
-	at := 0
-	for i, front := range order {
-		if front == n.hub {
-			at = i
-		}
-	}
+	at := max(slices.Index(order, n.hub), 0)
 	switch {
 	case len(order) == 0:
 		n.hub = ""
@@ -207,16 +203,6 @@
 	}
 }
 
-// contains returns whether all holds s.
-func contains(all []string, s string) bool {
-	for _, o := range all {
-		if o == s {
-			return true
-		}
-	}
-	return false
-}
-
 // topic returns what is known of a topic. The caller holds the lock.
 func (n *neighbours) topic(name string) *relay.Topic {
 	if n.topics == nil {
--- a/state/site/configuration.go
+++ b/state/site/configuration.go
@@ -28,7 +28,6 @@
 	Anonymous   bool
 	Timeout     time.Duration
 	Target      time.Duration
-	TargetGap   time.Duration
 	Priority    int
 	MaxAttempts int
 	Split       []Share
@@ -74,10 +73,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // A Configuration is all that operators have put in force at one version.
--- a/state/site/daemon.go
+++ b/state/site/daemon.go
@@ -6,12 +6,10 @@
 type Settings struct {
 	Daemon        string
 	FailureDomain string
-	Region        string
-	// Front takes callers, Ready health checks, Directory questions for addresses
-	// and Control operators' tools. An empty address is not served.
+	// Front takes callers, Ready health checks, Directory questions for addresses and
+	// Metrics those for counters. An empty address is not served.
 	Front     string
 	Ready     string
-	Control   string
 	Directory string
 	Metrics   string
 	// Peer takes messages of other daemons.
@@ -20,36 +18,25 @@
 	Store    string
 	Limits   ProcessLimits
 	Bounds   Bounds
-	Zones    map[string]string
 	FirstRun bool
 }
 
 // ProcessLimits are what the process may use.
 type ProcessLimits struct {
-	CPUShare    float64
-	MemoryMB    int
-	Descriptors int
+	CPUShare float64
+	MemoryMB int
 }
 
 // Bounds are the times and shares that all daemons of a deployment keep to.
 type Bounds struct {
-	Grace          time.Duration
-	Drain          time.Duration
-	Apply          time.Duration
-	Revoke         time.Duration
-	Evacuate       time.Duration
-	Stall          time.Duration
-	Pass           time.Duration
-	Stable         time.Duration
-	Heartbeat      time.Duration
-	DirectoryTTL   time.Duration
-	MinLease       time.Duration
-	RetryRatio     float64
-	RetrySlack     float64
-	RetryWindow    time.Duration
-	ColdOverage    float64
-	ColdSlack      float64
-	CeilingWindow  time.Duration
-	CeilingOverage float64
-	Fencing        bool
+	Grace         time.Duration
+	Revoke        time.Duration
+	Stall         time.Duration
+	DirectoryTTL  time.Duration
+	RetryRatio    float64
+	RetrySlack    float64
+	RetryWindow   time.Duration
+	ColdOverage   float64
+	ColdSlack     float64
+	CeilingWindow time.Duration
 }
--- a/state/site/service.go
+++ b/state/site/service.go
@@ -4,8 +4,7 @@
 
 // A Service is a pool of backend servers that do the same work.
 type Service struct {
-	Name           string
-	MaxConnections int
+	Name string
 	// ColdFor is how long a server is cold after it starts during traffic.
 	ColdFor time.Duration
 	// ColdPerSecond is how many requests a second a cold server bears; zero if its
@@ -19,18 +18,13 @@
 // replica at pace 1.
 type Engine struct {
 	Slots          int
-	Capacity       int
 	Stride         int
 	Chunk          int
 	Step           time.Duration
 	StepPerRequest time.Duration
-	StepPerContext time.Duration
 	ReadPerSecond  float64
-	PairsPerM      time.Duration
-	Form           time.Duration
 	LoadsPerSecond float64
 	LoadsAtOnce    int
-	UsualPrompt    int
 	UsualAnswer    int
 	Models         []Model
 }
