fix: servers change over for good only to what is needed about as much

After a loss the survivors of a large replica became a small one while both were needed nearly alike, and could not go back for 16 s; 3 to 4 large replicas were left beside 10 small ones.

--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -104,7 +104,7 @@
 
 // worthChanging is the part of the greatest need above which servers that could run
 // the model that is needed most are changed over to another one for good.
-const worthChanging = 0.7
+const worthChanging = 0.9
 
 // changesFor returns whether server can run top now and could not after it has
 // joined a replica of m.
