fix: a hub that the store turns away is told by another hub

Cause: a test of one daemon that the store refuses, resets or leaves without an answer: as a hub it read only itself, and went on with an old configuration. It now asks another hub as well once its own reads are stale.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
@@ -170,7 +171,11 @@
 		others := g.sumExcept("", now)
 		g.board.setElsewhere(others, time.Now())
 		g.tell(heard{daemons: others.Daemons, sum: others})
-		return statusInterval
+		if now-n.topic(platform.TopicOperators).ReadAt() < staleAge {
+			return statusInterval
+		}
+		// The store may turn this hub away and answer others.
+		hubs = slices.DeleteFunc(hubs, func(front string) bool { return front == g.settings.Front })
 	}
 	g.chooseHub(relay.Order(g.settings.Front, hubs), now)
 	if h, ok := view.peer(n.hub); ok {
