--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -40,9 +40,10 @@
 	since    time.Duration
 	forming  map[string]*formed
 	heads    map[string]*head
-	sent     map[string]sentOrder
-	loads    []time.Duration
-	loading  map[string]load
+	// sent is when each kind of order was last given or answered.
+	sent    map[string]time.Duration
+	loads   []time.Duration
+	loading map[string]load
 	// held are servers that left a replica whose head may still be open.
 	held map[string]hold
 	// retired are replicas that are closed so that others can use their servers.
@@ -70,18 +71,11 @@
 	failed  bool
 }
 
-// A sentOrder is the last order of one kind to one server.
-type sentOrder struct {
-	at     time.Duration
-	answer Answer
-	known  bool
-}
-
 // New returns a planner for a term that begins at now. Terms rise for ever.
 func New(term int64, now time.Duration) *Planner {
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
-		sent: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
+		sent: make(map[string]time.Duration), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]time.Duration), late: make(map[string]lateJoin), grewAt: now,
 	}
 }
@@ -94,7 +88,7 @@
 
 // Answered takes the answer to an order that Step returned.
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
-	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, answer: a, known: true}
+	p.sent[sentKey(o.Server, o.Action, o.Group)] = now
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
 		h.answered(now, o.Action, a)
 	}
@@ -153,10 +147,10 @@
 // order adds o unless it was given lately, and returns whether it did.
 func (s *step) order(o Order) bool {
 	key := sentKey(o.Server, o.Action, o.Group)
-	if last, ok := s.planner.sent[key]; ok && s.now-last.at < repeatAfter {
+	if last, ok := s.planner.sent[key]; ok && s.now-last < repeatAfter {
 		return false
 	}
-	s.planner.sent[key] = sentOrder{at: s.now}
+	s.planner.sent[key] = s.now
 	o.Fence = s.planner.term
 	s.orders = append(s.orders, o)
 	return true
