fix: a planner forgets what is over

Cause: a Planner kept the time of every order, every head, every replica closed to make room and every unanswered order of its term, and went on asking heads of replicas that were long over whether they live (a look from each hub, once a second). Ruled out: that the list drops them (heads are kept by replica, not by server). Test: formation.TestLongTerm, failing before.

--- /dev/null
+++ b/coordination/formation/forget.go
@@ -0,0 +1,37 @@
+package formation
+
+import (
+	"maps"
+	"time"
+)
+
+// forgetAfter is how long a replica must have had no member, and a server must not
+// have been held for it, until nothing about it is remembered: an order about it may
+// be carried out late, and the list lags.
+const forgetAfter = lateOrder + joinTimeout
+
+// forget drops what cannot matter any more, so that a planner whose term lasts for
+// weeks stays small.
+func (s *step) forget() {
+	p := s.planner
+	maps.DeleteFunc(p.sent, func(_ string, at time.Duration) bool { return s.now-at >= repeatAfter })
+	maps.DeleteFunc(p.late, func(_ string, l lateJoin) bool { return s.now-l.at >= lateOrder })
+	for name := range s.replicas {
+		s.seen(name)
+	}
+	for _, h := range p.held {
+		s.seen(h.group)
+	}
+	maps.DeleteFunc(p.heads, func(_ string, h *head) bool { return s.now-h.seenAt >= forgetAfter })
+	maps.DeleteFunc(p.retired, func(name string, at time.Duration) bool {
+		_, exists := s.replicas[name]
+		return !exists && s.now-at >= forgetAfter
+	})
+}
+
+// seen notes that the replica of the given name has members, or servers held for it.
+func (s *step) seen(name string) {
+	if h, ok := s.planner.heads[name]; ok {
+		h.seenAt = s.now
+	}
+}
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -31,6 +31,8 @@
 	openedAt     time.Duration
 	unansweredAt time.Duration
 	closedAt     time.Duration
+	// seenAt is when its replica last had a member, or a server was held for it.
+	seenAt time.Duration
 }
 
 // mayOpenLate returns whether h may still carry out an order to open that it left
@@ -194,7 +196,7 @@
 	var out []site.Server
 	seen := make(map[string]bool)
 	for _, group := range slices.Sorted(maps.Keys(p.heads)) {
-		if h := p.heads[group]; h.lost && h.unlisted && !seen[h.server.ID] {
+		if h := p.heads[group]; h.lost && h.unlisted && h.seenAt == p.steppedAt && !seen[h.server.ID] {
 			seen[h.server.ID] = true
 			out = append(out, h.server)
 		}
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -51,6 +51,8 @@
 	retiredAt time.Duration
 	// late are the orders to join that may still be carried out, by server.
 	late map[string]lateJoin
+	// steppedAt is the time of the last step.
+	steppedAt time.Duration
 	// known and grewAt tell when the number of servers last grew.
 	known  int
 	grewAt time.Duration
@@ -117,6 +119,7 @@
 
 // Step returns the orders to give at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
+	p.steppedAt = now
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), have: make(map[string]int)}
 	s.collect()
 	s.tend()
@@ -127,6 +130,7 @@
 		s.retire()
 	}
 	s.stage()
+	s.forget()
 	return s.orders
 }
 
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -412,6 +412,27 @@
 	})
 }
 
+// TestLongTerm is the pattern of a leader that nothing ever happens to: servers are
+// lost and replaced for hours, and what is over is neither kept nor asked after.
+func TestLongTerm(t *testing.T) {
+	b := newBench(t, 1, 8)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	turns := func(from, to int) {
+		for n := from; n < to; n++ {
+			head, _ := b.head("small")
+			b.lose(head)
+			b.add(fmt.Sprintf("new-%d", n), "d0")
+			b.run(25 * time.Second)
+		}
+	}
+	turns(0, 3)
+	early := b.planner.Remembered()
+	turns(3, 60)
+	require.LessOrEqual(t, b.planner.Remembered(), 2*early, "what is remembered after 60 losses, against 3")
+	require.Empty(t, b.planner.Unlisted(), "heads of replicas that are over are not looked at any more")
+}
+
 // TestDomainComesBack is the pattern of trouble-3: a failure domain is taken out, and
 // back while there is more work than the others can do.
 func TestDomainComesBack(t *testing.T) {
