fix: a model without any replica gets one, also where several must end for it

Cause: makesRoom closed one smaller replica beside free servers only. Where no server was free, or two small replicas or a large one had to end, a model that had lost its last replica stayed without one until new servers had loaded (12 to 16 s). Test: formation.TestReplicasMakeRoomTogether, failing before.

--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -23,9 +23,9 @@
 		s.seen(h.group)
 	}
 	maps.DeleteFunc(p.heads, func(_ string, h *head) bool { return s.now-h.seenAt >= forgetAfter })
-	maps.DeleteFunc(p.retired, func(name string, at time.Duration) bool {
+	maps.DeleteFunc(p.retired, func(name string, r *retirement) bool {
 		_, exists := s.replicas[name]
-		return !exists && s.now-at >= forgetAfter
+		return !exists && s.now-r.at >= forgetAfter
 	})
 }
 
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -137,52 +137,6 @@
 	return out
 }
 
-const (
-	// worthRetiring is how many times more a replica must be needed than the one
-	// that makes room for it, so that replicas are not closed back and forth.
-	worthRetiring = 1.3
-	// retireInterval is the time between two replicas that make room: a close, a join
-	// and their way through the list.
-	retireInterval = 4 * time.Second
-)
-
-// retire closes a replica of a model that is needed less, where its servers and
-// the free ones of its fabric domain make up one of a model that is needed more.
-func (s *step) retire() {
-	p := s.planner
-	if !s.fleet.Traffic || p.retiredAt != 0 && s.now-p.retiredAt < retireInterval {
-		return
-	}
-	for _, m := range s.needs() {
-		for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
-			if r := s.replicas[name]; s.whole(r) && r.members[0].Member.State == site.Open && s.makesRoom(r, m) {
-				p.retired[name], p.retiredAt = s.now, s.now
-				head := r.members[0]
-				s.order(Order{Server: head.ID, Address: head.Address, Action: Close, Group: name, Epoch: r.epoch})
-				return
-			}
-		}
-	}
-}
-
-// makesRoom returns whether a replica of m is worth the end of r.
-func (s *step) makesRoom(r *replica, m site.Model) bool {
-	if r.model.Name == m.Name || r.model.Size >= m.Size {
-		return false
-	}
-	domain := r.members[0].FabricDomain
-	members := make([]site.Server, 0, len(r.members))
-	for _, server := range r.members {
-		members = append(members, server)
-	}
-	free := len(s.capable(s.idle[domain], m))
-	if free == 0 || free >= m.Size || free+len(s.capable(members, m)) < m.Size {
-		return false
-	}
-	lost := s.demand(r.model) / max(float64(s.have[r.model.Name])-0.5, 0.5)
-	return s.need(m) > worthRetiring*lost
-}
-
 // join orders members to form a replica of m.
 func (s *step) join(m site.Model, members []site.Server) {
 	p := s.planner
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -47,7 +47,7 @@
 	// held are servers that left a replica whose head may still be open.
 	held map[string]hold
 	// retired are replicas that are closed so that others can use their servers.
-	retired   map[string]time.Duration
+	retired   map[string]*retirement
 	retiredAt time.Duration
 	// late are the orders to join that may still be carried out, by server.
 	late map[string]lateJoin
@@ -78,7 +78,7 @@
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
 		sent: make(map[string]time.Duration), loading: make(map[string]load), held: make(map[string]hold),
-		retired: make(map[string]time.Duration), late: make(map[string]lateJoin), grewAt: now,
+		retired: make(map[string]*retirement), late: make(map[string]lateJoin), grewAt: now,
 	}
 }
 
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -371,6 +371,58 @@
 	require.GreaterOrEqual(t, open["small"], 5)
 }
 
+// serveOnly lets every server run model, with the other one on its host.
+func (b *bench) serveOnly(model, other string) {
+	for _, m := range engine.Models {
+		if m.Name != model {
+			continue
+		}
+		n := 0
+		for _, id := range slices.Sorted(maps(b.actual)) {
+			s := b.actual[id]
+			group := fmt.Sprintf("%s/0/%d", model, n/m.Size)
+			s.Member = site.Membership{Group: group, Epoch: int64(1 + n/m.Size), Rank: n % m.Size, State: site.Open}
+			if s.Member.Rank > 0 {
+				s.Member.State = site.Ready
+			}
+			s.Staged = []string{other}
+			b.members[group] = append(b.members[group], id)
+			b.actual[id], b.fleet.Servers[id], b.fleet.Last[id] = s, s, model
+			n++
+		}
+	}
+	b.fleet.Traffic = true
+}
+
+// TestReplicasMakeRoomTogether is the end of a day like scale-2 on which every loss hit
+// one model: none of its replicas is left, no server is free, and one replica of the
+// other model alone does not make up one.
+func TestReplicasMakeRoomTogether(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		model, other string
+		demand       map[string]float64
+		want         map[string]int
+	}{
+		{"two_small_for_a_large", "small", "large", map[string]float64{"large": 0.4, "small": 1.8}, map[string]int{"large": 1, "small": 6}},
+		{"a_large_for_two_small", "large", "small", map[string]float64{"large": 1.8, "small": 0.4}, map[string]int{"large": 3, "small": 1}},
+		{"nobody_asks_for_the_other", "small", "large", map[string]float64{"small": 7.5}, map[string]int{"small": 8}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t, 2, 8)
+			b.serveOnly(tc.model, tc.other)
+			b.fleet.Demand = tc.demand
+			b.run(30 * time.Second)
+			require.Equal(t, tc.want, b.open())
+			before := len(b.given)
+			b.run(30 * time.Second)
+			for _, o := range b.given[before:] {
+				require.NotEqual(t, formation.Close, o.Action, "replicas are not closed back and forth")
+			}
+		})
+	}
+}
+
 // TestLateJoin is seed 35765751587 of trouble-1 of the observatory: an order to join
 // that had no answer is carried out after its server's old replica opened again.
 func TestLateJoin(t *testing.T) {
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -103,13 +103,13 @@
 	ready := true
 	first, h := r.members[0], s.planner.heads[r.name]
 	h.lost = false
-	if at, ok := s.planner.retired[r.name]; ok && s.now-at > retireInterval && !h.mayServe(s.now, first.Member.State) {
+	if ret := s.planner.retired[r.name]; ret != nil && s.now-ret.at > retireInterval && s.leftOver(r) {
 		// Nothing came of the room that it made.
 		delete(s.planner.retired, r.name)
 	}
-	if _, ok := s.planner.retired[r.name]; ok {
+	if s.planner.retired[r.name] != nil {
 		s.have[r.model.Name]--
-		if !h.mayServe(s.now, first.Member.State) {
+		if s.leftOver(r) {
 			// Its members are free.
 			return
 		}
@@ -126,7 +126,7 @@
 	if first.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
 	}
-	if _, retired := s.planner.retired[r.name]; retired || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
+	if s.planner.retired[r.name] != nil || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
 		return
 	}
 	if s.order(Order{Server: first.ID, Address: first.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
