fix: an order that is given again after it was undone is another one

Both orders to join had one id, and the engine, which knows by the id what it has done, answered the second one without doing anything, until the term ended. Ruled out: the limit on time of orders (they are sent again, as unexpected ids show), the plan (it asks for the right thing). What an id was for still holds: a repeated order expects the generation of the engine's last report, and none is planned before the one in flight is answered or past its deadline. Test: control.TestHistoriesThatFailed, failing before.

--- a/coordination/control/core.go
+++ b/coordination/control/core.go
@@ -66,6 +66,8 @@
 	instances  map[string]*sighting
 	peers      map[string]*peer
 	sequence   uint64
+	// orders is the number of orders given.
+	orders     uint64
 	domainTerm map[string]termStart
 	drains     map[string][]string
 	startedAt  time.Time
--- a/coordination/control/direct.go
+++ b/coordination/control/direct.go
@@ -177,7 +177,10 @@
 		Assignment: a,
 		Deadline:   now.Add(c.bounds.Lease.LongestOrder),
 	}
-	o.ID = fmt.Sprintf("%s/%d/%s/%s/%s", o.Instance, term, a.Generation, action, o.Expect)
+	// An order that was carried out, and undone since, is another one when it is given
+	// again: the engine knows by the id what it has done.
+	c.orders++
+	o.ID = fmt.Sprintf("%s/%d/%s/%s/%s/%d", o.Instance, term, a.Generation, action, o.Expect, c.orders)
 	s.ordered[o.ID] = now
 	return []Command{Send{Address: s.instance.Address, Scope: domain, Until: c.keeper.ValidUntil(domain), Order: o}}
 }
--- a/coordination/control/random_test.go
+++ b/coordination/control/random_test.go
@@ -352,6 +352,20 @@
 	}
 }
 
+// TestHistoriesThatFailed plays the histories again that broke a promise and were mended.
+func TestHistoriesThatFailed(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		seed int
+	}{
+		// An order repeated one of the same term that had been undone since, with its
+		// id, so that the engine took it for carried out.
+		{"joins_the_generation_that_it_left", 4392},
+	} {
+		t.Run(tc.name, func(t *testing.T) { requireHolds(t, tc.seed) })
+	}
+}
+
 // requireHolds plays the history of a seed and fails with its shortest form if
 // anything is broken.
 func requireHolds(t *testing.T, seed int) {
