feat: members that are cut off from the store stay members

The leader closed every replica with such a member though it answered, 13 of 27 at once on the grown utility, and daemons sent nothing there. Ruled out: that the replicas stand still (before the entries lapse nothing is late), and sending to heads whose entry lapsed (DRAIN forbids it; they wait for the head to be back). Told from a planned leave without a word by the heartbeats that are missing; the leader looks at such members each second, and one that does not answer, or has a new life, counts as dead. Tests: gateway.TestServerCutOffFromTheStore, formation.TestMembersCutOffFromTheStore, TestSilentServersAreNotUsed.

--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -69,7 +69,7 @@
 		for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 			server := s.fleet.Servers[id]
 			_, loading := s.planner.loading[id]
-			if s.busy[id] == idle || loading || !s.usable(server) || s.out(server) || !s.mayLoad() {
+			if s.busy[id] == idle || loading || !s.usable(server) || s.fleet.Silent[id] || s.out(server) || !s.mayLoad() {
 				continue
 			}
 			last := s.fleet.Last[id]
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -12,12 +12,14 @@
 const epochsPerTerm = 1_000_000
 
 // A Fleet is what the leader knows at one moment. Dead holds servers that did not
-// answer the leader although they are listed, Out the failure domains that
-// operators took out of service.
+// answer the leader although they are listed, Silent members of replicas whose entries
+// lapsed although they answer, and Out the failure domains that operators took out of
+// service.
 type Fleet struct {
 	Engine  *site.Engine
 	Servers map[string]site.Server
 	Dead    map[string]bool
+	Silent  map[string]bool
 	Out     map[string]bool
 	// Last is the model of the last replica that each server belonged to in its life.
 	Last map[string]string
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -323,6 +323,43 @@
 	require.NotEmpty(t, b.open(), "the others serve again")
 }
 
+// TestMembersCutOffFromTheStore is the pattern of scale-1 of the grown utility: entries of
+// members lapse that answer all the same, and are back after a few seconds.
+func TestMembersCutOffFromTheStore(t *testing.T) {
+	b := newBench(t, 6, 8)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	b.fleet.Silent = make(map[string]bool)
+	before, given := b.open(), len(b.given)
+	large, others := b.head("large")
+	small, _ := b.head("small")
+	for _, id := range []string{large, small, others[0], others[1]} {
+		b.cut[id], b.fleet.Silent[id] = true, true
+	}
+	b.run(3 * time.Second)
+	require.Equal(t, before, b.open(), "replicas stay as they are")
+	require.Len(t, b.given, given, "nothing is ordered")
+	b.cut, b.fleet.Silent = make(map[string]bool), make(map[string]bool)
+	b.run(3 * time.Second)
+	require.Equal(t, before, b.open())
+}
+
+// TestSilentServersAreNotUsed takes the replica of a silent member apart when another
+// member is lost, and gives the silent one nothing to do.
+func TestSilentServersAreNotUsed(t *testing.T) {
+	b := newBench(t, 1, 8)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	head, others := b.head("large")
+	b.cut[others[0]], b.fleet.Silent = true, map[string]bool{others[0]: true}
+	b.lose(head)
+	given := len(b.given)
+	b.run(15 * time.Second)
+	for _, o := range b.given[given:] {
+		require.False(t, o.Server == others[0] && (o.Action == formation.Join || o.Action == formation.Stage), "%v", o)
+	}
+}
+
 // TestHeadCutOff is seed 10 of the soak: a head that no daemon reaches is still listed,
 // so that it lives and may serve.
 func TestHeadCutOff(t *testing.T) {
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -116,7 +116,7 @@
 	}
 	for _, server := range r.members {
 		s.busy[server.ID], s.serving[server.ID] = true, true
-		ready = ready && server.Member.State >= site.Ready
+		ready = ready && server.Member.State >= site.Ready && !s.fleet.Silent[server.ID]
 	}
 	if s.out(first) {
 		s.have[r.model.Name]--
@@ -159,7 +159,7 @@
 func (s *step) abandoned(f *formed) bool {
 	for _, id := range f.members {
 		server, ok := s.fleet.Servers[id]
-		if !ok || !s.usable(server) {
+		if !ok || !s.usable(server) || s.fleet.Silent[id] {
 			return true
 		}
 		if s.now-f.at > joinTimeout && server.Member.Epoch != f.epoch {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -57,6 +57,7 @@
 	}
 	c.leadership.dead, c.leadership.alive = make(map[string]deadServer), make(map[string]time.Duration)
 	c.leadership.candidate.Bounds = tenureBounds
+	c.servers.heartbeat = g.settings.Bounds.ServerHeartbeat
 	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
 
@@ -223,7 +224,7 @@
 			continue
 		}
 		if len(r.Value) == 0 {
-			c.dirty = c.servers.remove(now, r) || c.dirty
+			c.takeRemoval(now, r)
 			continue
 		}
 		var (
@@ -238,6 +239,25 @@
 	}
 }
 
+// takeRemoval takes that an entry was removed. A server that is cut off from the store
+// stays a member of its replica for a while, unless it is known to be dead.
+func (c *control) takeRemoval(now time.Duration, r relay.Record) {
+	if !c.servers.remove(now, r) {
+		return
+	}
+	c.dirty = true
+	if !c.servers.entries[r.Key].silent {
+		return
+	}
+	if _, dead := c.leadership.dead[r.Key]; dead {
+		c.servers.forget(r.Key)
+		return
+	}
+	c.gateway.metrics.events.Add("servers_cut_off", 1)
+	c.gateway.logger.Info().Str("event", "server_cut_off").Str("server", r.Key).Str("group", c.servers.entries[r.Key].server.Member.Group).
+		Int64("offset", r.Offset).Msg("entry lapsed without a word")
+}
+
 // takeBroken notes an entry that another writer left; it names no server.
 func (c *control) takeBroken(now time.Duration, r relay.Record, err error) {
 	if _, known := c.broken[r.Key]; !known {
@@ -408,7 +428,8 @@
 	}
 }
 
-// replica returns the replica of the given members if it serves.
+// replica returns the replica of the given members if it serves. Nothing new is given to
+// a head that is not listed; other members may be cut off from the store.
 func (c *control) replica(now time.Duration, name string, members []entry) (Replica, bool) {
 	service := c.configuration.Services[members[0].server.Service]
 	if service == nil || service.Engine == nil {
@@ -421,7 +442,7 @@
 	r := Replica{Name: name, Model: model, Members: make([]string, model.Size), Epoch: members[0].server.Member.Epoch}
 	for _, e := range members {
 		s := e.server
-		if s.Draining || c.out[s.FailureDomain] || s.Member.Epoch != r.Epoch || s.Member.Rank >= model.Size || r.Members[s.Member.Rank] != "" {
+		if e.silent && s.Member.Rank == 0 || s.Draining || c.out[s.FailureDomain] || s.Member.Epoch != r.Epoch || s.Member.Rank >= model.Size || r.Members[s.Member.Rank] != "" {
 			return Replica{}, false
 		}
 		if _, dead := c.leadership.dead[s.ID]; dead {
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -209,13 +209,18 @@
 	}
 	c.probeStalled(now)
 	f := formation.Fleet{
-		Engine: service.Engine, Servers: make(map[string]site.Server), Last: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), Out: c.out,
+		Engine: service.Engine, Servers: make(map[string]site.Server), Silent: make(map[string]bool), Last: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), Out: c.out,
 		Traffic: c.trafficBegan(), Stall: c.gateway.bounds().Stall,
 		Ceiling: service.Engine.LoadsPerSecond * c.gateway.bounds().CeilingWindow.Seconds(), Window: c.gateway.bounds().CeilingWindow,
 	}
 	for _, e := range c.servers.all() {
-		if e.server.Service == service.Name && e.goneAt == 0 {
-			f.Servers[e.server.ID], f.Last[e.server.ID] = e.server, e.last
+		if e.server.Service != service.Name || e.goneAt != 0 && !e.silent {
+			continue
+		}
+		f.Servers[e.server.ID], f.Last[e.server.ID] = e.server, e.last
+		if e.silent {
+			f.Silent[e.server.ID] = true
+			c.lookAgain(now, e.server)
 		}
 	}
 	for id := range c.leadership.dead {
@@ -225,14 +230,19 @@
 		c.give(order)
 	}
 	for _, head := range c.leadership.planner.Unlisted() {
-		if last, ok := c.leadership.probing[head.ID]; !ok || now-last > probeInterval {
-			c.leadership.probing[head.ID] = now
-			c.look([]site.Server{head})
-		}
+		c.lookAgain(now, head)
 	}
 	c.describe(now, f)
 }
 
+// lookAgain finds out whether s lives, unless that was done lately.
+func (c *control) lookAgain(now time.Duration, s site.Server) {
+	if last, ok := c.leadership.probing[s.ID]; !ok || now-last > probeInterval {
+		c.leadership.probing[s.ID] = now
+		c.look([]site.Server{s})
+	}
+}
+
 // describeInterval is the time between two log lines about the fleet.
 const describeInterval = 2 * time.Second
 
@@ -350,7 +360,7 @@
 	g := c.gateway
 	targets := make([]target, 0, len(servers))
 	for _, s := range servers {
-		targets = append(targets, target{ID: s.ID, Address: s.Address})
+		targets = append(targets, target{ID: s.ID, Address: s.Address, Born: s.Born})
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
 			answered := g.answers(ctx, s)
 			if !answered {
@@ -372,10 +382,11 @@
 	for range deadProbes {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
 		g.metrics.events.Add("probes", 1)
-		_, err := g.engines.Report(attempt, s)
+		now, err := g.engines.Report(attempt, s)
 		cancel()
 		if err == nil {
-			return true
+			// One that has started again is not the server that was asked for.
+			return s.Born == 0 || now.Born == s.Born
 		}
 	}
 	return false
@@ -408,6 +419,7 @@
 		return
 	}
 	c.leadership.dead[m.server.ID] = deadServer{born: m.server.Born, at: now}
+	c.dirty = c.servers.forget(m.server.ID) || c.dirty
 	if !known {
 		c.dirty = true
 		c.gateway.logger.Warn().Str("event", "server_dead").Str("server", m.server.ID).Str("group", m.server.Member.Group).
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -69,6 +69,7 @@
 	_       struct{} `cbor:",toarray"`
 	ID      string
 	Address string
+	Born    int64
 }
 
 // A part is the newest sum of one daemon, or of a hub with its followers.
@@ -359,7 +360,7 @@
 func (g *Gateway) probeFor(m message) {
 	for _, t := range m.Probe {
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
-			if !g.answers(ctx, site.Server{ID: t.ID, Address: t.Address}) {
+			if !g.answers(ctx, site.Server{ID: t.ID, Address: t.Address, Born: t.Born}) {
 				return nil
 			}
 			g.neighbours.mu.Lock()
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -17,6 +17,12 @@
 	// lapsedGrace is how long entries that lapsed while the store was away have to
 	// come back, by the platform's pages.
 	lapsedGrace = 2500 * time.Millisecond
+	// silentHeartbeats is how many heartbeats of a server must be missing when its entry
+	// is removed for it to count as cut off from the store, not as leaving: an entry
+	// lapses after three, and the list lags by less than one.
+	silentHeartbeats = 2
+	// silentFor bounds how long a member of a replica may be cut off from the store.
+	silentFor = 10 * time.Second
 )
 
 // An entry is one server as it is listed. ColdUntil is on the boot clock.
@@ -26,9 +32,14 @@
 	coldUntil time.Duration
 	// last is the model of the last replica of its life.
 	last string
-	// goneAt is when an entry ends that lapsed while the store was away; zero if it
-	// is listed.
+	// goneAt is when an entry ends that lapsed while the store was away or its server
+	// was cut off from it; zero if it is listed.
 	goneAt time.Duration
+	// silent means that the server is a member of a replica and seems to be cut off from
+	// the store: its entry lapsed although it did not leave.
+	silent bool
+	// writtenAt is when the last entry was read.
+	writtenAt time.Duration
 }
 
 // A roster is the list of servers as this daemon has read it. The zero roster is
@@ -37,6 +48,8 @@
 	entries    map[string]entry
 	removed    map[string]int64
 	graceUntil time.Duration
+	// heartbeat is the time between two entries of a server, zero if it is not known.
+	heartbeat time.Duration
 }
 
 // storeReturned lets entries that lapsed meanwhile come back.
@@ -57,7 +70,7 @@
 		// An entry that was held up on its way.
 		return false
 	}
-	e := entry{server: s, offset: offset, coldUntil: old.coldUntil}
+	e := entry{server: s, offset: offset, coldUntil: old.coldUntil, writtenAt: now}
 	if !known || old.server.Born != s.Born {
 		e.coldUntil = now + coldFor
 	} else {
@@ -86,7 +99,7 @@
 	if r.removed != nil {
 		r.removed[record.Key] = record.Offset
 	}
-	if !ok || record.Offset <= e.offset {
+	if !ok || record.Offset <= e.offset || e.silent {
 		return false
 	}
 	if now < r.graceUntil && !e.server.Draining {
@@ -94,10 +107,32 @@
 		r.entries[record.Key] = e
 		return false
 	}
+	if r.cutOff(now, e) {
+		e.goneAt, e.silent, e.offset = now+silentFor, true, record.Offset
+		r.entries[record.Key] = e
+		return true
+	}
 	delete(r.entries, record.Key)
 	return true
 }
 
+// cutOff returns whether the entry of a member of a replica lapses because its server
+// is cut off from the store. One that leaves, also without a word, has written lately.
+func (r *roster) cutOff(now time.Duration, e entry) bool {
+	member := e.server.Member.State >= site.Ready && e.server.Member.State != site.Broken
+	return member && !e.silent && !e.server.Draining && r.heartbeat > 0 && now-e.writtenAt >= silentHeartbeats*r.heartbeat
+}
+
+// forget drops the entry of a server that is cut off from the store and does not
+// answer, and returns whether there was one.
+func (r *roster) forget(id string) bool {
+	e, ok := r.entries[id]
+	if ok && e.silent {
+		delete(r.entries, id)
+	}
+	return ok && e.silent
+}
+
 // reset drops the entries that news of all newest records do not hold.
 func (r *roster) reset(now time.Duration, news relay.News) {
 	listed := make(map[string]bool, len(news.Records))
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -56,6 +56,52 @@
 	}
 }
 
+// TestServerCutOffFromTheStore is the pattern of scale-1 of the grown utility: an eighth
+// of all servers are cut off from the store for a few seconds and serve on.
+func TestServerCutOffFromTheStore(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	removed := relay.Record{Key: "s", Offset: 11}
+	for _, tc := range []struct {
+		name   string
+		change func(*site.Server)
+		after  time.Duration
+		want   bool
+	}{
+		{"member_without_heartbeats", func(*site.Server) {}, 3 * heartbeat, true},
+		{"member_that_wrote_lately", func(*site.Server) {}, heartbeat, false},
+		{"member_that_is_leaving", func(s *site.Server) { s.Draining = true }, 3 * heartbeat, false},
+		{"member_that_is_joining", func(s *site.Server) { s.Member.State = site.Joining }, 3 * heartbeat, false},
+		{"server_without_a_replica", func(s *site.Server) { s.Member = site.Membership{} }, 3 * heartbeat, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := site.Server{ID: "s", Service: "models", Born: 5, Sequence: 3, Member: site.Membership{Group: "m/1/1", Epoch: 1, Rank: 1, State: site.Ready}}
+			tc.change(&s)
+			r := &roster{heartbeat: heartbeat}
+			r.put(0, 10, s, 0)
+			require.True(t, r.remove(tc.after, removed))
+			require.Equal(t, tc.want, r.entries["s"].silent)
+			if !tc.want {
+				require.Empty(t, r.all())
+				return
+			}
+			r.expire(tc.after + silentFor - 1)
+			require.Len(t, r.all(), 1, "it is kept for a while")
+			s.Sequence++
+			r.put(tc.after+time.Second, 12, s, 0)
+			r.expire(tc.after + 2*silentFor)
+			require.Len(t, r.all(), 1, "and back")
+			require.False(t, r.entries["s"].silent)
+		})
+	}
+	t.Run("not_for_ever", func(t *testing.T) {
+		r := &roster{heartbeat: heartbeat}
+		r.put(0, 10, site.Server{ID: "s", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}, 0)
+		r.remove(3*heartbeat, removed)
+		require.True(t, r.expire(3*heartbeat+silentFor))
+		require.Empty(t, r.all())
+	})
+}
+
 func TestRosterLives(t *testing.T) {
 	r := listed()
 	require.False(t, r.put(0, 12, site.Server{ID: "s", Address: "old", Born: 4, Sequence: 9}, 0), "an earlier life")
--- a/state/site/daemon.go
+++ b/state/site/daemon.go
@@ -39,4 +39,7 @@
 	ColdOverage   float64
 	ColdSlack     float64
 	CeilingWindow time.Duration
+	// ServerHeartbeat is the time between two heartbeats of a server. Its entry lapses
+	// after three that are missing.
+	ServerHeartbeat time.Duration
 }
