feat: replicas that write slower than the others get less work

Now each daemon compares the pauses of its own streams with the engine's published pass, and each replica with the middle of all: what slows all alike, such as its own processor, makes none slow. What is known lapses after four seconds, so that a replica is tried again. Tests: dispatch.TestSlownesses, TestStraggler, gateway.TestSlowReplicaGetsLittle.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -31,7 +31,7 @@
 }
 
 // A Candidate is one replica that may run a request. Slowness is how much slower
-// than published it has shown itself, 1 if not. Far means that it is in another
+// than the others it has shown itself, 1 if not. Far means that it is in another
 // failure domain. Silent is the time since its last event, if it writes.
 type Candidate struct {
 	Load     Load
--- /dev/null
+++ b/coordination/dispatch/pace_test.go
@@ -0,0 +1,137 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+)
+
+// writing is the load of a replica that writes ten answers.
+var writing = dispatch.Load{Writing: 10}
+
+// usualPause is the pause between two events of a replica with that load.
+const usualPause = 42 * time.Millisecond
+
+// observe returns a pace after pauses that end at now.
+func observe(now time.Time, pauses ...time.Duration) dispatch.Pace {
+	var p dispatch.Pace
+	for _, pause := range pauses {
+		p.Observe(engine, model, writing, pause, now)
+	}
+	return p
+}
+
+// times returns n pauses of d.
+func times(n int, d time.Duration) []time.Duration {
+	out := make([]time.Duration, n)
+	for i := range out {
+		out[i] = d
+	}
+	return out
+}
+
+func ExampleSlownesses() {
+	now := time.Unix(0, 0)
+	paces := []dispatch.Pace{
+		observe(now, times(20, usualPause)...), observe(now, times(20, 4*usualPause)...), observe(now, times(20, usualPause)...),
+	}
+	fmt.Println(dispatch.Slownesses(paces, now))
+	// Output: [1 4 1]
+}
+
+func TestSlownesses(t *testing.T) {
+	now := time.Unix(0, 0)
+	usual := observe(now, times(30, usualPause)...)
+	for _, tc := range []struct {
+		name  string
+		pace  dispatch.Pace
+		later time.Duration
+		slow  bool
+	}{
+		{"four_times_slower", observe(now, times(30, 4*usualPause)...), 0, true},
+		{"a_little_slower", observe(now, times(30, usualPause*5/4)...), 0, false},
+		{"one_long_pause", observe(now, append(times(30, usualPause), 3*usualPause)...), 0, false},
+		{"too_few_pauses", observe(now, times(4, 4*usualPause)...), 0, false},
+		{"long_ago", observe(now, times(30, 4*usualPause)...), 10 * time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			slowness := dispatch.Slownesses([]dispatch.Pace{usual, tc.pace, usual}, now.Add(tc.later))
+			require.Equal(t, tc.slow, slowness[1] > 1, "slowness %v", slowness)
+			require.Equal(t, []float64{1, 1}, []float64{slowness[0], slowness[2]}, "the others")
+		})
+	}
+	t.Run("all_alike", func(t *testing.T) {
+		slow := observe(now, times(30, 5*usualPause)...)
+		require.Equal(t, []float64{1, 1, 1}, dispatch.Slownesses([]dispatch.Pace{slow, slow, slow}, now))
+	})
+}
+
+// TestStraggler is the pattern of trouble-2: one of eight replicas writes four times
+// slower for eight seconds. It must get a small part of its share while it is, and its
+// share again soon after.
+func TestStraggler(t *testing.T) {
+	const (
+		replicas, slow = 8, 3
+		interval       = 10 * time.Millisecond
+		begins, ends   = 5 * time.Second, 13 * time.Second
+	)
+	var (
+		random = rand.New(rand.NewPCG(5, 6))
+		start  = time.Unix(0, 0)
+		paces  [replicas]dispatch.Pace
+		loads  [replicas]int
+		// leave holds the replicas of the answers that end, by time.
+		leave = make(map[time.Duration][]int)
+		got   = make(map[string]int)
+		all   = make(map[string]int)
+	)
+	for now := time.Duration(0); now < 25*time.Second; now += interval {
+		factor := func(i int) time.Duration {
+			if i == slow && now >= begins && now < ends {
+				return 4
+			}
+			return 1
+		}
+		for _, i := range leave[now] {
+			loads[i]--
+		}
+		candidates, known := make([]dispatch.Candidate, replicas), make([]dispatch.Pace, replicas)
+		for i := range candidates {
+			if now%(50*time.Millisecond) == 0 && loads[i] > 0 {
+				load := dispatch.Load{Writing: loads[i]}
+				pause := time.Duration(engine.Stride) * (engine.Step + time.Duration(loads[i])*engine.StepPerRequest) * factor(i)
+				paces[i].Observe(engine, model, load, pause, start.Add(now))
+			}
+			candidates[i].Load, known[i] = dispatch.Load{Writing: loads[i]}, paces[i]
+		}
+		for i, slowness := range dispatch.Slownesses(known, start.Add(now)) {
+			candidates[i].Slowness = slowness
+		}
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, random.IntN)
+		loads[i]++
+		end := now + (time.Second * factor(i)).Truncate(interval)
+		leave[end] = append(leave[end], i)
+		phase := "before"
+		switch {
+		case now >= begins+2*time.Second && now < ends:
+			phase = "slow"
+		case now >= ends+7*time.Second:
+			phase = "after"
+		case now >= begins:
+			phase = "change"
+		}
+		all[phase]++
+		if i == slow {
+			got[phase]++
+		}
+	}
+	share := func(phase string) float64 { return float64(got[phase]) * replicas / float64(all[phase]) }
+	require.InDelta(t, 1, share("before"), 0.25)
+	require.Less(t, share("slow"), 0.2, "part of its share that a slow replica gets")
+	require.InDelta(t, 1, share("after"), 0.35)
+}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
@@ -54,6 +55,9 @@
 	// epoch names the replica to peers; zero for servers of plain services.
 	epoch       int64
 	work        dispatch.Work
+	// engine and model tell how fast a replica writes; nil for servers of plain services.
+	engine      *site.Engine
+	model       site.Model
 	fingerprint quarantine.Fingerprint
 	sentAt      time.Time
 	lastEvent   time.Time
@@ -70,6 +74,7 @@
 	lastEvent time.Time
 	// usual is the mean pause between events of one stream.
 	usual        time.Duration
+	pace         dispatch.Pace
 	suspectUntil time.Time
 	cold         budget.Bucket
 }
@@ -155,6 +160,9 @@
 	s := b.seat(a.target)
 	if a.started {
 		s.usual += time.Duration(usualWeight * float64(pause-s.usual))
+		if a.engine != nil {
+			s.pace.Observe(a.engine, a.model, s.load().Add(b.elsewhere(s.epoch, now).Load), pause, now)
+		}
 	}
 	s.lastEvent, a.lastEvent, a.started = now, now, true
 	s.suspectUntil = time.Time{}
--- /dev/null
+++ b/gateway/board_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// TestSlowReplicaGetsLittle is the pattern of trouble-2: one replica of four writes four
+// times slower than the others, and the board sees it by the events of its streams.
+func TestSlowReplicaGetsLittle(t *testing.T) {
+	engine := &site.Engine{Slots: 26, Stride: 5, Chunk: 2048, Step: 6 * time.Millisecond, StepPerRequest: 240 * time.Microsecond, ReadPerSecond: 46_000}
+	model := site.Model{Name: "large", Pace: 1}
+	var (
+		b     board
+		now   = time.Now()
+		paces []dispatch.Pace
+	)
+	for n := range 4 {
+		pause := 31 * time.Millisecond
+		if n == 2 {
+			pause *= 4
+		}
+		a := &attempt{target: fmt.Sprint("large/1/", n), epoch: int64(n + 1), engine: engine, model: model, sentAt: now, lastEvent: now}
+		b.add(a)
+		for k := range 20 {
+			b.event(a, now.Add(time.Duration(k+1)*pause))
+		}
+		paces = append(paces, b.seats[a.target].pace)
+	}
+	candidates, got := make([]dispatch.Candidate, 4), make([]int, 4)
+	for i, slowness := range dispatch.Slownesses(paces, now.Add(2*time.Second)) {
+		candidates[i].Slowness = slowness
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, random.IntN)
+		got[i]++
+	}
+	require.Less(t, got[2], 50, "requests at the slow replica: %v", got)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -110,6 +110,7 @@
 	var (
 		replicas   []Replica
 		candidates []dispatch.Candidate
+		paces      []dispatch.Pace
 		now        = time.Now()
 	)
 	for _, r := range view.Replicas[model.Name] {
@@ -118,12 +119,15 @@
 			continue
 		}
 		other := b.elsewhere(r.Epoch, now)
-		replicas = append(replicas, r)
+		replicas, paces = append(replicas, r), append(paces, seat.pace)
 		candidates = append(candidates, dispatch.Candidate{
 			Load: seat.load().Add(other.Load), Far: r.Head.FailureDomain != g.settings.FailureDomain,
 			Silent: silence(seat, other, now),
 		})
 	}
+	for i, slowness := range dispatch.Slownesses(paces, now) {
+		candidates[i].Slowness = slowness
+	}
 	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, rand.IntN)
 	if c.sent == 0 {
 		busy := dispatch.Busy(c.service.Engine, model, c.request.Work)
@@ -206,7 +210,7 @@
 	defer cancel(nil)
 	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
 	defer span.End()
-	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Work, fingerprint: c.fingerprint, sentAt: time.Now(), resent: s.crashes > 0, cancel: cancel}
+	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Work, engine: c.service.Engine, model: replica.Model, fingerprint: c.fingerprint, sentAt: time.Now(), resent: s.crashes > 0, cancel: cancel}
 	a.lastEvent = a.sentAt
 	g.checkNewWork(replica)
 	g.board.add(a)
