fix: a fenced leader ends its term, and a leader that has started again frees it

Found by writing its test, which waits for ever without the mend. And where the leader was killed, others waited two seconds for it, though its daemon had started again, which proves that it is gone. Ruled out for the second: that orders of the dead one are still on their way (its process is gone; orders that servers carry out late come twelve seconds late with any wait).

--- a/coordination/tenure/tenure.go
+++ b/coordination/tenure/tenure.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// Overtaken takes that a server refused an order at now because it had one of a later
+// holder. The term is over here, and whoever holds the later one is given time to be
+// heard.
+func (c *Candidate) Overtaken(now time.Duration) {
+	c.until, c.term, c.free, c.seenAt = 0, 0, false, now
+}
+
 // Resign gives up the lead.
 func (c *Candidate) Resign() { c.until = 0 }
 
--- a/coordination/tenure/tenure_test.go
+++ b/coordination/tenure/tenure_test.go
@@ -42,6 +42,8 @@
 		{"holder_resigned", func(c *tenure.Candidate) { c.Ended(0, 3); c.Heard(time.Second, 3, true) }, time.Second, true},
 		{"old_holder_heard", func(c *tenure.Candidate) { c.Ended(0, 3); c.Heard(2*time.Second, 2, false) }, 3 * time.Second, true},
 		{"claim_lost", func(c *tenure.Candidate) { c.Ended(0, 3); c.Lost(3*time.Second, 4) }, 4 * time.Second, false},
+		{"overtaken", func(c *tenure.Candidate) { c.Ended(0, 0); c.Won(0); c.Overtaken(time.Second) }, 3 * time.Second, false},
+		{"overtaken_and_nobody_heard", func(c *tenure.Candidate) { c.Ended(0, 0); c.Won(0); c.Overtaken(time.Second) }, 4 * time.Second, true},
 		{"own_term_lapsed", func(c *tenure.Candidate) { c.Ended(0, 0); c.Won(0) }, 2 * time.Second, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -294,6 +294,7 @@
 			continue
 		}
 		old, known := c.daemons[r.Key]
+		c.takeSuccessor(now, old.Heartbeat, h)
 		if m.news.Whole && !known && h.Incarnation != c.gateway.incarnation {
 			// The newest record of a key may be of a daemon that ended long ago.
 			c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now - peerTimeout + heartbeatInterval*3/2}
@@ -309,6 +310,19 @@
 	c.leadership.heardAt = m.news.ReadAt
 }
 
+// takeSuccessor takes the heartbeat h of a daemon whose last one was old. A daemon that
+// has started again proves that its life before is over, and with it the term that it
+// may have led. This daemon itself need not be heard for that.
+func (c *control) takeSuccessor(now time.Duration, old, h heartbeat) {
+	over := old
+	if h.Front == c.gateway.settings.Front && h.Incarnation != c.gateway.incarnation {
+		over = h
+	} else if old.Incarnation == h.Incarnation {
+		return
+	}
+	c.leadership.candidate.Heard(now, over.Term, true)
+}
+
 // A heard names the daemons that hubs hear from, and the work of all.
 type heard struct {
 	daemons []uint64
--- /dev/null
+++ b/gateway/control_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// newControl returns the control state of a daemon at the front address "self" that
+// has heard nothing yet.
+func newControl() *control {
+	g := New(site.Settings{Daemon: "self", Front: "self"}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
+	c := &control{gateway: g, out: make(map[string]bool), daemons: make(map[string]Peer), loaded: make(map[string]bool), failed: make(map[string]bool)}
+	c.leadership.candidate.Bounds = tenureBounds
+	return c
+}
+
+// hear lets c read heartbeats at a time.
+func (c *control) hear(t *testing.T, at time.Duration, whole bool, heartbeats ...heartbeat) {
+	news := relay.News{Whole: whole, ReadAt: at}
+	for n, h := range heartbeats {
+		text, err := cbor.Marshal(h)
+		require.NoError(t, err)
+		news.Records = append(news.Records, relay.Record{Key: h.Front, Value: text, Offset: int64(n)})
+	}
+	c.takeDaemons(at, feedPage{topic: platform.TopicDaemons, news: news})
+}
+
+// TestLeaderThatStartedAgain is the pattern of days on which the leader is killed: its
+// daemon starts again within a second, which proves that the leader is gone.
+func TestLeaderThatStartedAgain(t *testing.T) {
+	const term = 3
+	old := heartbeat{Daemon: "a", Front: "a", Incarnation: "a1", Term: term}
+	for _, tc := range []struct {
+		name string
+		do   func(t *testing.T, c *control)
+		want bool
+	}{
+		{"leader_is_heard", func(t *testing.T, c *control) {
+			c.hear(t, 0, false, old)
+			c.hear(t, time.Second, false, old)
+		}, false},
+		{"leader_started_again", func(t *testing.T, c *control) {
+			c.hear(t, 0, false, old)
+			c.hear(t, time.Second, false, heartbeat{Daemon: "a", Front: "a", Incarnation: "a2"})
+		}, true},
+		{"another_started_again", func(t *testing.T, c *control) {
+			c.hear(t, 0, false, old, heartbeat{Daemon: "b", Front: "b", Incarnation: "b1"})
+			c.hear(t, time.Second, false, heartbeat{Daemon: "b", Front: "b", Incarnation: "b2"})
+		}, false},
+		{"leader_before_the_last_started_again", func(t *testing.T, c *control) {
+			c.hear(t, 0, false, old, heartbeat{Daemon: "b", Front: "b", Incarnation: "b1", Term: term + 1})
+			c.hear(t, time.Second, false, heartbeat{Daemon: "a", Front: "a", Incarnation: "a2"})
+		}, false},
+		{"this_daemon_led_in_its_life_before", func(t *testing.T, c *control) {
+			c.hear(t, time.Second, true, heartbeat{Daemon: "self", Front: "self", Incarnation: "before", Term: term})
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newControl()
+			c.leadership.candidate.Ended(0, term)
+			tc.do(t, c)
+			_, may := c.leadership.candidate.Claim(time.Second, time.Second)
+			require.Equal(t, tc.want, may)
+		})
+	}
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -315,6 +315,7 @@
 	if m.answer == formation.Fenced && m.order.Action != formation.Join {
 		c.gateway.logger.Warn().Str("event", "fenced").Int64("term", l.term).Str("server", m.order.Server).Msg("a later leader has given orders")
 		l.planner = nil
+		l.candidate.Overtaken(now)
 	}
 }
 
