fix: orders without an answer are repeated soon

Now one that had no answer is repeated after 0.3 s, unless its server is dead or not listed. Orders to load are not: carried out twice they count twice.

--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -1,9 +1,6 @@
 package formation
 
-import (
-	"maps"
-	"time"
-)
+import "maps"
 
 // forgetAfter is how long a replica must have had no member, and a server must not
 // have been held for it, until nothing about it is remembered: an order about it may
@@ -14,7 +11,7 @@
 // weeks stays small.
 func (s *step) forget() {
 	p := s.planner
-	maps.DeleteFunc(p.sent, func(_ string, at time.Duration) bool { return s.now-at >= repeatAfter })
+	maps.DeleteFunc(p.sent, func(_ string, o sentOrder) bool { return s.now-o.at >= repeatAfter })
 	maps.DeleteFunc(p.late, func(_ string, l lateJoin) bool { return s.now-l.at >= lateOrder })
 	for name := range s.replicas {
 		s.seen(name)
--- a/coordination/formation/order.go
+++ b/coordination/formation/order.go
@@ -68,6 +68,9 @@
 	// repeatAfter is when an order is given again whose effect is not reported:
 	// twice the lag of the list of servers.
 	repeatAfter = 1600 * time.Millisecond
+	// repeatUnanswered is the same for an order that had no answer: receivers answer at
+	// once, and an order that reached its receiver after all is known there.
+	repeatUnanswered = 300 * time.Millisecond
 	// lateOrder is how late a server may carry out an order that it left
 	// unanswered, by the platform's pages.
 	lateOrder = 12 * time.Second
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -43,7 +43,7 @@
 	forming  map[string]*formed
 	heads    map[string]*head
 	// sent is when each kind of order was last given or answered.
-	sent    map[string]time.Duration
+	sent    map[string]sentOrder
 	loads   []time.Duration
 	loading map[string]load
 	// held are servers that left a replica whose head may still be open.
@@ -60,6 +60,13 @@
 	grewAt time.Duration
 }
 
+// A sentOrder is when an order was last given or answered, and whether it stayed
+// without an answer then.
+type sentOrder struct {
+	at         time.Duration
+	unanswered bool
+}
+
 // A lateJoin is an order to join that was given at a time and not answered.
 type lateJoin struct {
 	epoch int64
@@ -79,7 +86,7 @@
 func New(term int64, now time.Duration) *Planner {
 	return &Planner{
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
-		sent: make(map[string]time.Duration), loading: make(map[string]load), held: make(map[string]hold),
+		sent: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), late: make(map[string]lateJoin), grewAt: now,
 	}
 }
@@ -92,7 +99,7 @@
 
 // Answered takes the answer to an order that Step returned.
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
-	p.sent[sentKey(o.Server, o.Action, o.Group)] = now
+	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, unanswered: a == Unknown && o.Action != Stage}
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
 		h.answered(now, o.Action, a)
 	}
@@ -153,10 +160,15 @@
 // order adds o unless it was given lately, and returns whether it did.
 func (s *step) order(o Order) bool {
 	key := sentKey(o.Server, o.Action, o.Group)
-	if last, ok := s.planner.sent[key]; ok && s.now-last < repeatAfter {
+	wait := repeatAfter
+	last, ok := s.planner.sent[key]
+	if _, listed := s.fleet.Servers[o.Server]; last.unanswered && listed && !s.fleet.Dead[o.Server] {
+		wait = repeatUnanswered
+	}
+	if ok && s.now-last.at < wait {
 		return false
 	}
-	s.planner.sent[key] = s.now
+	s.planner.sent[key] = sentOrder{at: s.now}
 	o.Fence = s.planner.term
 	s.orders = append(s.orders, o)
 	return true
