--- a/gateway/board.go
+++ b/gateway/board.go
@@ -53,8 +53,8 @@
 type attempt struct {
 	target string
 	// epoch names the replica to peers; zero for servers of plain services.
-	epoch       int64
-	work        dispatch.Work
+	epoch int64
+	work  dispatch.Work
 	// engine and model tell how fast a replica writes; nil for servers of plain services.
 	engine      *site.Engine
 	model       site.Model
