--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -53,6 +53,11 @@
 	retiredAt time.Duration
 	// late are the orders to join that may still be carried out, by server.
 	late map[string]lateJoin
+	// serving holds the members of the replicas that serve, lost what servers have lost
+	// that serve in no replica since, and repairs what has ended of that.
+	serving map[string][]string
+	lost    map[string]*loss
+	repairs []Repair
 	// steppedAt is the time of the last step.
 	steppedAt time.Duration
 	// known and grewAt tell when the number of servers last grew.
@@ -88,6 +93,7 @@
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
 		sent: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), late: make(map[string]lateJoin), grewAt: now,
+		serving: make(map[string][]string), lost: make(map[string]*loss),
 	}
 }
 
@@ -140,6 +146,7 @@
 	}
 	s.stage()
 	s.forget()
+	s.forgetLosses()
 	return s.orders
 }
 
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -535,6 +535,39 @@
 	})
 }
 
+func TestRepairs(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		do    func(b *bench, id string)
+		cause formation.Cause
+	}{
+		{"dead", func(b *bench, id string) { b.dark[id], b.fleet.Dead[id] = true, true }, formation.MemberDead},
+		{"gone", func(b *bench, id string) { b.lose(id) }, formation.MemberLeft},
+		{"started_again", func(b *bench, id string) {
+			s := b.actual[id]
+			s.Born, s.Member = s.Born+1, site.Membership{}
+			b.actual[id] = s
+		}, formation.MemberElsewhere},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t, 1, 9)
+			b.run(8 * time.Second)
+			b.fleet.Traffic = true
+			require.Empty(t, b.planner.Repairs(), "forming replicas is no repair")
+			head, others := b.head("large")
+			replica := b.actual[head].Member.Group
+			tc.do(b, others[1])
+			b.run(6 * time.Second)
+			repairs := b.planner.Repairs()
+			require.Len(t, repairs, 1)
+			got := repairs[0]
+			require.Equal(t, formation.Repair{Replica: replica, Model: "large", Cause: tc.cause, After: got.After}, got)
+			require.Less(t, got.After, 3*time.Second)
+			require.Positive(t, got.After)
+		})
+	}
+}
+
 // TestLongTerm is the pattern of a leader that nothing ever happens to: servers are
 // lost and replaced for hours, and what is over is neither kept nor asked after.
 func TestLongTerm(t *testing.T) {
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -125,6 +125,7 @@
 	}
 	if first.Member.State == site.Open {
 		delete(s.planner.forming, r.name)
+		s.noteServing(r)
 	}
 	if s.planner.retired[r.name] != nil || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
 		return
@@ -140,6 +141,7 @@
 		// Members are still on their way.
 		return
 	}
+	s.noteLoss(r)
 	first, ok := r.members[0]
 	if ok && !s.fleet.Dead[first.ID] {
 		s.closeHead(r, first)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -229,6 +229,11 @@
 	for _, order := range c.leadership.planner.Step(now, f) {
 		c.give(order)
 	}
+	for _, r := range c.leadership.planner.Repairs() {
+		c.gateway.metrics.repair.observe(r.After)
+		c.gateway.logger.Info().Str("event", "replica_repaired").Str("group", r.Replica).Str("model", r.Model).Str("cause", r.Cause.String()).
+			Dur("after", r.After).Msg("servers of a lost replica serve again")
+	}
 	for _, head := range c.leadership.planner.Unlisted() {
 		c.lookAgain(now, head)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	firstEvent histogram
 	pause      histogram
 	plain      histogram
+	repair     histogram
 }
 
 // newMetrics returns metrics at zero.
@@ -80,7 +81,7 @@
 	vars.Set("orders", &m.orders)
 	vars.Set("store_calls", &m.storeCalls)
 	vars.Set("store_failures", &m.storeFailures)
-	for name, h := range map[string]*histogram{"first_event": &m.firstEvent, "pause": &m.pause, "plain": &m.plain} {
+	for name, h := range map[string]*histogram{"first_event": &m.firstEvent, "pause": &m.pause, "plain": &m.plain, "repair": &m.repair} {
 		vars.Set(name, expvar.Func(func() any { return h.summary() }))
 	}
 	if g.DroppedLines != nil {
