feat: hubs pass on entries of servers that say something new

A topic now knows when a key last said something new, and Since leaves out what says the same; how long a record was idle when it was dropped travels with it, since followers do not see every heartbeat. Tests: relay.TestRecordsThatSayTheSame (random histories), TestIdleRecords, gateway.TestServerCutOffFromTheStore.

--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"testing"
@@ -48,6 +49,92 @@
 	require.Equal(t, int64(49), news.Records[0].Offset)
 }
 
+// TestRecordsThatSayTheSame is the pattern of every day: servers write their entries over
+// and over with nothing new but a sequence. A hub passes on what changes, and followers
+// know the same all the while.
+func TestRecordsThatSayTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hub := relay.Topic{Same: func(_ string, a, b []byte) bool { return bytes.Equal(a, b) }}
+		hub.Take(relay.News{Whole: true})
+		var (
+			follower relay.Topic
+			truth    = make(map[string]string)
+			offset   int64
+			have     = int64(-1)
+		)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := relay.News{From: offset}
+			for range rapid.IntRange(0, 5).Draw(t, "records") {
+				r := relay.Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Offset: offset}
+				offset++
+				if r.Value = []byte(rapid.SampledFrom([]string{"", "x", "x", "y"}).Draw(t, "value")); len(r.Value) == 0 {
+					delete(truth, r.Key)
+				} else {
+					truth[r.Key] = string(r.Value)
+				}
+				n.Records = append(n.Records, r)
+			}
+			n.End = offset
+			hub.Take(n)
+			if !rapid.Bool().Draw(t, "asked") {
+				continue
+			}
+			news, ok := hub.Since(have)
+			require.True(t, ok)
+			if news, ok = follower.New(news); ok && rapid.Bool().Draw(t, "arrived") {
+				follower.Take(news)
+			}
+			have = follower.End()
+		}
+		news, _ := hub.Since(follower.End())
+		news, _ = follower.New(news)
+		follower.Take(news)
+		all, _ := follower.Since(-1)
+		got := make(map[string]string)
+		for _, r := range all.Records {
+			got[r.Key] = string(r.Value)
+		}
+		require.Equal(t, truth, got)
+	})
+	hub := relay.Topic{Same: func(_ string, a, b []byte) bool { return bytes.Equal(a, b) }}
+	hub.Take(relay.News{Whole: true, Records: []relay.Record{{Key: "s", Value: []byte("x")}}, End: 1})
+	for n := range int64(20) {
+		hub.Take(relay.News{From: n + 1, Records: []relay.Record{{Key: "s", Value: []byte("x"), Offset: n + 1}}, End: n + 2})
+	}
+	news, _ := hub.Since(1)
+	require.Empty(t, news.Records, "nothing new is passed on")
+	require.Equal(t, int64(21), news.End)
+}
+
+// TestIdleRecords tells a record that is dropped after a silence from one that was
+// written lately, at the hub and at a follower, who sees few of the records.
+func TestIdleRecords(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		last []relay.Record
+		want time.Duration
+	}{
+		{"silent_for_long", nil, 4 * time.Second},
+		{"written_lately", []relay.Record{{Key: "s", Value: []byte("x"), Offset: 1}}, time.Nanosecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			hub := relay.Topic{Same: func(_ string, a, b []byte) bool { return bytes.Equal(a, b) }}
+			hub.Take(relay.News{Whole: true, Records: []relay.Record{{Key: "s", Value: []byte("x")}}, End: 1, ReadAt: time.Second})
+			var follower relay.Topic
+			news, _ := hub.Since(-1)
+			follower.Take(news)
+			news, ok := hub.New(relay.News{From: 1, Records: append(tc.last, relay.Record{Key: "s", Offset: 2}), End: 3, ReadAt: 5 * time.Second})
+			require.True(t, ok)
+			require.Equal(t, tc.want, news.Records[len(news.Records)-1].Idle)
+			hub.Take(news)
+			news, _ = hub.Since(1)
+			news, ok = follower.New(news)
+			require.True(t, ok)
+			require.Equal(t, tc.want, news.Records[0].Idle)
+		})
+	}
+}
+
 func TestFollowersSpreadOverHubs(t *testing.T) {
 	hubs, first := []string{"h0", "h1", "h2"}, make(map[string]int)
 	for n := range 300 {
--- a/coordination/relay/topic.go
+++ b/coordination/relay/topic.go
@@ -6,12 +6,14 @@
 // by one: several seconds of a busy list of servers.
 const kept = 2048
 
-// A Record is one record of a keyed topic. One without a value drops its key.
+// A Record is one record of a keyed topic. One without a value drops its key; Idle is
+// the time since the record before it then, zero if that is not known.
 type Record struct {
 	_      struct{} `cbor:",toarray"`
 	Key    string
 	Value  []byte
 	Offset int64
+	Idle   time.Duration
 }
 
 // A News is what is new of a topic from the offset From on. Whole news hold the
@@ -28,33 +30,47 @@
 // A Topic keeps what a daemon has read of one topic. The zero Topic has read
 // nothing. It is not safe for concurrent use.
 type Topic struct {
+	// Same returns whether two values of a key say the same, so that the later one need
+	// not be passed on. Nil means never.
+	Same func(key string, a, b []byte) bool
+
 	newest map[string]Record
-	tail   []Record
-	first  int64
-	end    int64
-	readAt time.Duration
-	known  bool
+	// changed is the offset of the last record of each key that said something new, and
+	// writtenAt when the last one was read.
+	changed   map[string]int64
+	writtenAt map[string]time.Duration
+	tail      []Record
+	first     int64
+	end       int64
+	readAt    time.Duration
+	known     bool
 }
 
 // Take takes records that a read sent at readAt brought.
 func (t *Topic) Take(n News) {
 	if n.Whole || t.newest == nil {
-		t.newest = make(map[string]Record)
+		t.newest, t.changed, t.writtenAt = make(map[string]Record), make(map[string]int64), make(map[string]time.Duration)
 		t.tail, t.first = nil, n.End
 	}
 	for _, r := range n.Records {
-		t.put(r, !n.Whole)
+		t.put(r, n.ReadAt, !n.Whole)
 	}
 	t.known = t.known || n.Whole
 	t.end = max(t.end, n.End)
 	t.readAt = max(t.readAt, n.ReadAt)
 }
 
-// put takes one record; tail means that it follows those before.
-func (t *Topic) put(r Record, tail bool) {
+// put takes one record, read at a time; tail means that it follows those before.
+func (t *Topic) put(r Record, at time.Duration, tail bool) {
 	if old, ok := t.newest[r.Key]; !ok || r.Offset >= old.Offset {
+		if !ok || t.Same == nil || !t.Same(r.Key, old.Value, r.Value) {
+			t.changed[r.Key] = r.Offset
+		}
+		t.writtenAt[r.Key] = at
 		if len(r.Value) == 0 {
 			delete(t.newest, r.Key)
+			delete(t.changed, r.Key)
+			delete(t.writtenAt, r.Key)
 		} else {
 			t.newest[r.Key] = r
 		}
@@ -94,10 +110,19 @@
 		return n, false
 	}
 	out := News{End: n.End, ReadAt: n.ReadAt}
+	written := make(map[string]bool)
 	for _, r := range n.Records {
-		if r.Offset >= t.end {
-			out.Records = append(out.Records, r)
+		if r.Offset < t.end {
+			continue
+		}
+		if at, ok := t.writtenAt[r.Key]; ok && len(r.Value) == 0 && r.Idle == 0 {
+			// One that is written and dropped within a page was not idle.
+			if r.Idle = time.Nanosecond; !written[r.Key] {
+				r.Idle = max(n.ReadAt-at, time.Nanosecond)
+			}
 		}
+		written[r.Key] = true
+		out.Records = append(out.Records, r)
 	}
 	return out, n.ReadAt > t.readAt || n.End > t.end
 }
@@ -117,8 +142,11 @@
 		return n, true
 	}
 	for _, r := range t.tail {
-		// A record that a later one of its key has replaced is not news any more.
-		if newest, ok := t.newest[r.Key]; r.Offset >= offset && (!ok && len(r.Value) == 0 || ok && newest.Offset == r.Offset) {
+		// A record that a later one of its key has replaced is not news any more, nor one
+		// that says what was said before offset.
+		newest, ok := t.newest[r.Key]
+		news := !ok && len(r.Value) == 0 || ok && newest.Offset == r.Offset && t.changed[r.Key] >= offset
+		if r.Offset >= offset && news {
 			n.Records = append(n.Records, r)
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -216,10 +216,29 @@
 	}
 	if n.topics[name] == nil {
 		n.topics[name] = &relay.Topic{}
+		if name == platform.TopicServers {
+			n.topics[name].Same = sameEntry
+		}
 	}
 	return n.topics[name]
 }
 
+// sameEntry returns whether two entries of a server say the same but for their sequence.
+func sameEntry(id string, a, b []byte) bool {
+	var (
+		before, after site.Server
+		err           error
+	)
+	// Entries that cannot be read are passed on: each daemon counts them for itself.
+	if before, err = platform.DecodeServer(id, a); err != nil {
+		return false
+	}
+	if after, err = platform.DecodeServer(id, b); err != nil {
+		return false
+	}
+	return same(before, after)
+}
+
 // sendTo sends m to a daemon. The caller holds the lock.
 func (g *Gateway) sendTo(ctx context.Context, incarnation, peer, secret string, m message) {
 	n := &g.neighbours
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -38,8 +38,6 @@
 	// silent means that the server is a member of a replica and seems to be cut off from
 	// the store: its entry lapsed although it did not leave.
 	silent bool
-	// writtenAt is when the last entry was read.
-	writtenAt time.Duration
 }
 
 // A roster is the list of servers as this daemon has read it. The zero roster is
@@ -70,7 +68,7 @@
 		// An entry that was held up on its way.
 		return false
 	}
-	e := entry{server: s, offset: offset, coldUntil: old.coldUntil, writtenAt: now}
+	e := entry{server: s, offset: offset, coldUntil: old.coldUntil}
 	if !known || old.server.Born != s.Born {
 		e.coldUntil = now + coldFor
 	} else {
@@ -107,7 +105,7 @@
 		r.entries[record.Key] = e
 		return false
 	}
-	if r.cutOff(now, e) {
+	if r.cutOff(e, record.Idle) {
 		e.goneAt, e.silent, e.offset = now+silentFor, true, record.Offset
 		r.entries[record.Key] = e
 		return true
@@ -116,11 +114,12 @@
 	return true
 }
 
-// cutOff returns whether the entry of a member of a replica lapses because its server
-// is cut off from the store. One that leaves, also without a word, has written lately.
-func (r *roster) cutOff(now time.Duration, e entry) bool {
+// cutOff returns whether the entry of a member of a replica, removed after it was idle
+// for a time, lapsed because its server is cut off from the store. One that leaves, also
+// without a word, has written lately.
+func (r *roster) cutOff(e entry, idle time.Duration) bool {
 	member := e.server.Member.State >= site.Ready && e.server.Member.State != site.Broken
-	return member && !e.silent && !e.server.Draining && r.heartbeat > 0 && now-e.writtenAt >= silentHeartbeats*r.heartbeat
+	return member && !e.silent && !e.server.Draining && r.heartbeat > 0 && idle >= silentHeartbeats*r.heartbeat
 }
 
 // forget drops the entry of a server that is cut off from the store and does not
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -60,7 +60,6 @@
 // of all servers are cut off from the store for a few seconds and serve on.
 func TestServerCutOffFromTheStore(t *testing.T) {
 	const heartbeat = 1200 * time.Millisecond
-	removed := relay.Record{Key: "s", Offset: 11}
 	for _, tc := range []struct {
 		name   string
 		change func(*site.Server)
@@ -78,7 +77,7 @@
 			tc.change(&s)
 			r := &roster{heartbeat: heartbeat}
 			r.put(0, 10, s, 0)
-			require.True(t, r.remove(tc.after, removed))
+			require.True(t, r.remove(tc.after, relay.Record{Key: "s", Offset: 11, Idle: tc.after}))
 			require.Equal(t, tc.want, r.entries["s"].silent)
 			if !tc.want {
 				require.Empty(t, r.all())
@@ -96,7 +95,7 @@
 	t.Run("not_for_ever", func(t *testing.T) {
 		r := &roster{heartbeat: heartbeat}
 		r.put(0, 10, site.Server{ID: "s", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}, 0)
-		r.remove(3*heartbeat, removed)
+		r.remove(3*heartbeat, relay.Record{Key: "s", Offset: 11, Idle: 3 * heartbeat})
 		require.True(t, r.expire(3*heartbeat+silentFor))
 		require.Empty(t, r.all())
 	})
