fix: a leader whose orders to join are refused for a later term ends its own

Now a refused order to join counts if no later one was given to its server. Tests: platform.TestFencedLeader, formation.TestOvertaken; the first failing before.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -58,6 +58,8 @@
 	serving map[string][]string
 	lost    map[string]*loss
 	repairs []Repair
+	// highest is the highest epoch of an order to join that each server was given.
+	highest map[string]int64
 	// steppedAt is the time of the last step.
 	steppedAt time.Duration
 	// known and grewAt tell when the number of servers last grew.
@@ -93,7 +95,7 @@
 		term: term, since: now, forming: make(map[string]*formed), heads: make(map[string]*head),
 		sent: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), late: make(map[string]lateJoin), grewAt: now,
-		serving: make(map[string][]string), lost: make(map[string]*loss),
+		serving: make(map[string][]string), lost: make(map[string]*loss), highest: make(map[string]int64),
 	}
 }
 
@@ -121,6 +123,14 @@
 	}
 }
 
+// Overtaken returns whether a, the answer to o, shows that a later leader gives orders. A
+// server refuses an order to join also for one of a higher epoch that it has had; it may
+// have had that from p itself.
+func (p *Planner) Overtaken(o Order, a Answer) bool {
+	highest, known := p.highest[o.Server]
+	return a == Fenced && (o.Action != Join || known && o.Epoch >= highest)
+}
+
 // joinAnswered notes whether an order to join may be carried out late. A server
 // that has taken a later one refuses it.
 func (p *Planner) joinAnswered(now time.Duration, o Order, a Answer) {
@@ -176,6 +186,9 @@
 		return false
 	}
 	s.planner.sent[key] = sentOrder{at: s.now}
+	if o.Action == Join {
+		s.planner.highest[o.Server] = max(o.Epoch, s.planner.highest[o.Server])
+	}
 	o.Fence = s.planner.term
 	s.orders = append(s.orders, o)
 	return true
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -535,6 +535,31 @@
 	})
 }
 
+// TestOvertaken tells the refusal of a server that has had orders of a later leader from
+// that of one that has had a later order to join of the same planner.
+func TestOvertaken(t *testing.T) {
+	b := newBench(t, 1, 4)
+	b.run(8 * time.Second)
+	i := slices.IndexFunc(b.given, func(o formation.Order) bool { return o.Action == formation.Join })
+	join := b.given[i]
+	earlier := join
+	earlier.Epoch--
+	open := formation.Order{Server: join.Server, Action: formation.Open, Group: join.Group, Epoch: join.Epoch}
+	for _, tc := range []struct {
+		name   string
+		order  formation.Order
+		answer formation.Answer
+		want   bool
+	}{
+		{"join", join, formation.Fenced, true},
+		{"join_before_the_last", earlier, formation.Fenced, false},
+		{"open", open, formation.Fenced, true},
+		{"join_that_does_not_fit", join, formation.Declined, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) { require.Equal(t, tc.want, b.planner.Overtaken(tc.order, tc.answer)) })
+	}
+}
+
 func TestRepairs(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -317,7 +317,7 @@
 		return
 	}
 	l.planner.Answered(now, m.order, m.answer)
-	if m.answer == formation.Fenced && m.order.Action != formation.Join {
+	if l.planner.Overtaken(m.order, m.answer) {
 		c.gateway.logger.Warn().Str("event", "fenced").Int64("term", l.term).Str("server", m.order.Server).Msg("a later leader has given orders")
 		l.planner = nil
 		l.candidate.Overtaken(now)
