--- a/coordination/dispatch/pace_test.go
+++ b/coordination/dispatch/pace_test.go
@@ -91,11 +91,11 @@
 		all   = make(map[string]int)
 	)
 	for now := time.Duration(0); now < 25*time.Second; now += interval {
-		factor := func(i int) time.Duration {
+		slowed := func(i int, d time.Duration) time.Duration {
 			if i == slow && now >= begins && now < ends {
-				return 4
+				return 4 * d
 			}
-			return 1
+			return d
 		}
 		for _, i := range leave[now] {
 			loads[i]--
@@ -104,8 +104,8 @@
 		for i := range candidates {
 			if now%(50*time.Millisecond) == 0 && loads[i] > 0 {
 				load := dispatch.Load{Writing: loads[i]}
-				pause := time.Duration(engine.Stride) * (engine.Step + time.Duration(loads[i])*engine.StepPerRequest) * factor(i)
-				paces[i].Observe(engine, model, load, pause, start.Add(now))
+				step := engine.Step + time.Duration(loads[i])*engine.StepPerRequest
+				paces[i].Observe(engine, model, load, slowed(i, time.Duration(engine.Stride)*step), start.Add(now))
 			}
 			candidates[i].Load, known[i] = dispatch.Load{Writing: loads[i]}, paces[i]
 		}
@@ -114,7 +114,7 @@
 		}
 		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, random.IntN)
 		loads[i]++
-		end := now + (time.Second * factor(i)).Truncate(interval)
+		end := now + slowed(i, time.Second)
 		leave[end] = append(leave[end], i)
 		phase := "before"
 		switch {
--- a/coordination/formation/repair.go
+++ b/coordination/formation/repair.go
@@ -78,7 +78,7 @@
 		return
 	}
 	delete(p.serving, r.name)
-	l := &loss{replica: r.name, model: r.model.Name, cause: s.cause(r.name, members), at: s.now}
+	l := &loss{replica: r.name, model: r.model.Name, cause: s.cause(members), at: s.now}
 	for _, server := range r.members {
 		if s.usable(server) {
 			p.lost[server.ID] = l
@@ -86,8 +86,8 @@
 	}
 }
 
-// cause returns why the replica of the given name, which had members, stopped.
-func (s *step) cause(name string, members []string) Cause {
+// cause returns why a replica that had members stopped.
+func (s *step) cause(members []string) Cause {
 	left := false
 	for _, id := range members {
 		server, listed := s.fleet.Servers[id]
