refactor: one wait that a context ends, for both front doors and the load tool

gateway had written sleep again, which entry had as sleep and load as pause, the same six lines. All three call clock.Sleep now. Ruled out: package task, which runs goroutines and waits for their ends only.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/claim"
 	"github.com/hawthornrock/hawthornrock/coordination/outcome"
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
@@ -145,7 +146,7 @@
 			err  error
 		)
 		if page, err = c.daemon.platform.Read(ctx, streamClaims, from, followWait); err != nil {
-			sleep(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 			continue
 		}
 		from = page.Next
@@ -186,7 +187,7 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-c.queue:
-			sleep(ctx, c.daemon.settings.Bounds.ClaimBatch)
+			clock.Sleep(ctx, c.daemon.settings.Bounds.ClaimBatch)
 			c.append(ctx, c.batch(first))
 		}
 	}
@@ -210,7 +211,7 @@
 			c.daemon.counters.events.Add("claim_appends", 1)
 			return
 		}
-		sleep(ctx, retryInterval)
+		clock.Sleep(ctx, retryInterval)
 	}
 	c.daemon.counters.events.Add("claim_appends_failed", 1)
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
 	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
@@ -140,7 +141,7 @@
 		)
 		if page, err = d.platform.Read(ctx, string(stream), from, followWait); err != nil {
 			d.tell(control.LogFailed{Err: err})
-			sleep(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 			continue
 		}
 		read := control.LogRead{Stream: stream, AskedAt: asked, Next: page.Next, Horizon: page.Horizon}
@@ -170,7 +171,7 @@
 			d.peers.setInstances(instances)
 			d.tell(control.Listed{Instances: instances})
 		}
-		sleep(ctx, listInterval)
+		clock.Sleep(ctx, listInterval)
 	}
 	return nil
 }
@@ -190,7 +191,7 @@
 				})
 			}
 		}
-		sleep(ctx, d.settings.Bounds.PollInterval)
+		clock.Sleep(ctx, d.settings.Bounds.PollInterval)
 	}
 	return nil
 }
@@ -217,7 +218,7 @@
 func (d *Daemon) runTicks(ctx context.Context) error {
 	for ctx.Err() == nil {
 		d.tell(control.Tick{})
-		sleep(ctx, d.settings.Bounds.TickInterval)
+		clock.Sleep(ctx, d.settings.Bounds.TickInterval)
 	}
 	return nil
 }
@@ -234,13 +235,3 @@
 		return false
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -18,6 +18,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/protocol/backend"
 	"github.com/hawthornrock/hawthornrock/state/fleet"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
@@ -205,7 +206,7 @@
 		// The engine did not begin, so the attempt does not count as one.
 		g.attempt--
 		d.counters.attempts.Add("declined", 1)
-		sleep(ctx, declinedPause)
+		clock.Sleep(ctx, declinedPause)
 		return err
 	}
 	if ctx.Err() == nil && !errors.As(err, &status) {
@@ -230,8 +231,8 @@
 	if verdict, _ := d.crashes.verdict(g.fingerprint); verdict == quarantine.Clear || g.attempt == 0 {
 		return
 	}
-	sleep(ctx, suspectPause)
-	sleep(ctx, min(time.Duration(d.crashes.rank(g.fingerprint))*suspectTurn, longestTurn))
+	clock.Sleep(ctx, suspectPause)
+	clock.Sleep(ctx, min(time.Duration(d.crashes.rank(g.fingerprint))*suspectTurn, longestTurn))
 }
 
 // declinedPause is the wait after an engine declined a request.
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/control"
 	"github.com/hawthornrock/hawthornrock/protocol/operator"
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
@@ -86,7 +87,7 @@
 	for ctx.Err() == nil && !result.Lasting {
 		if offset, err := d.appendChange(ctx, command); err != nil {
 			result.Error = err.Error()
-			sleep(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 		} else {
 			result.Lasting, result.Offset, result.Error = true, offset, ""
 		}
@@ -106,7 +107,7 @@
 		if ctx.Err() != nil {
 			return result
 		}
-		sleep(ctx, changePoll)
+		clock.Sleep(ctx, changePoll)
 	}
 }
 
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -389,7 +389,7 @@
 			g.metrics.events.Add("stalls", 1)
 			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Msg("replica does not answer")
 		}
-		sleep(ctx, watchInterval)
+		clock.Sleep(ctx, watchInterval)
 	}
 	return nil
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -68,7 +68,7 @@
 func (g *Gateway) runTicks(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.tell(tick{})
-		sleep(ctx, tickInterval)
+		clock.Sleep(ctx, tickInterval)
 	}
 	return nil
 }
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -66,7 +66,7 @@
 	expired, failures := false, 0
 	for ctx.Err() == nil {
 		if !g.readsItself(topic) {
-			sleep(ctx, relayPoll)
+			clock.Sleep(ctx, relayPoll)
 			continue
 		}
 		sent := clock.Boot()
@@ -84,7 +84,7 @@
 				g.tell(feedFailed{topic: topic, err: err})
 			}
 			failures++
-			sleep(ctx, g.backoff(failures))
+			clock.Sleep(ctx, g.backoff(failures))
 			continue
 		}
 		expired, failures = false, 0
@@ -98,7 +98,7 @@
 		}
 		g.takeFeed(topic, news)
 		g.neighbours.mu.Unlock()
-		sleep(ctx, g.readInterval(topic, interval))
+		clock.Sleep(ctx, g.readInterval(topic, interval))
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,15 +195,5 @@
 	g.tasks.Go(ctx, "peers", g.runPeers)
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Monitor returns the counts of what must always hold.
 func (g *Gateway) Monitor() *invariant.Monitor { return g.monitor }
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -371,7 +371,7 @@
 			answered := g.answers(ctx, s)
 			if !answered {
 				// Other hubs have as long, and their answers are on their way.
-				sleep(ctx, hubMargin)
+				clock.Sleep(ctx, hubMargin)
 			}
 			g.tell(probed{server: s, answered: answered})
 			return nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -126,7 +126,7 @@
 	for ctx.Err() == nil {
 		interval := g.tellNeighbours(ctx)
 		g.dropSenders()
-		sleep(ctx, interval)
+		clock.Sleep(ctx, interval)
 	}
 	g.dropAllSenders()
 	stopReaping()
--- a/load/caller.go
+++ b/load/caller.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/outcome"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
@@ -112,7 +113,7 @@
 			return answer
 		}
 		c.forget(address)
-		pause(ctx, time.Duration(n)*20*time.Millisecond)
+		clock.Sleep(ctx, time.Duration(n)*20*time.Millisecond)
 	}
 	return answer
 }
@@ -226,16 +227,6 @@
 	return Answer{Outcome: outcome.Unknown, Err: err}
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // readStream reads a stream of chat pieces to its end.
 func readStream(resp *http.Response, sent time.Time) Answer {
 	a := Answer{Streamed: true, Status: resp.StatusCode, Outcome: outcome.Failed, Err: errors.New("the stream broke off")}
--- a/transport/clock/boot.go
+++ b/transport/clock/boot.go
@@ -1,4 +1,4 @@
-// Package clock reads a clock that goes on while the machine is suspended.
+// Package clock reads a clock that goes on while the machine is suspended, and waits.
 package clock
 
 import (
