refactor: both front doors run and close their listeners by one type

gateway/listener.go had written run and close of entry/server.go again. serve.Server has them now; entry's adds the context of hijacked connections, as before. Ruled out: one listen for both, since entry bounds connections and has TLS, and the gateway has neither. No behaviour changes; planned stops of both are tested.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -116,7 +116,7 @@
 	d.startControl()
 	d.startTasks(work)
 	for _, s := range servers {
-		d.tasks.Go(work, s.name, s.run)
+		d.tasks.Go(work, s.Name, s.Run)
 	}
 	d.logger.Info().Str("callers", d.settings.Listen.Callers).Str("incarnation", d.incarnation).Msg("serving")
 	<-ctx.Done()
@@ -213,7 +213,7 @@
 func closeAll(servers []*server) []error {
 	var errs []error
 	for _, s := range servers {
-		errs = append(errs, s.listener.Close())
+		errs = append(errs, s.Listener.Close())
 	}
 	return errs
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/state/settings"
+	"github.com/hawthornrock/hawthornrock/transport/serve"
 )
 
 const (
@@ -28,10 +29,8 @@
 
 // A server is one listener with its handler.
 type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-	cancel   context.CancelFunc
+	serve.Server
+	cancel context.CancelFunc
 }
 
 // newServer opens a listener at address.
@@ -63,28 +62,15 @@
 			return context.WithValue(ctx, acceptedKey{}, time.Now())
 		},
 	}
-	return &server{name: name, listener: listener, http: srv, cancel: cancel}, nil
+	return &server{Server: serve.Server{Name: name, Listener: listener, HTTP: srv}, cancel: cancel}, nil
 }
 
-// close ends the server.
+// close ends the server and the connections that outlive a shutdown.
 func (s *server) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil {
-		// Connections that outlive the timeout are cut.
-		_ = s.http.Close()
-	}
+	s.Close(closeTimeout)
 	s.cancel()
 }
 
-// run serves until the server is closed.
-func (s *server) run(context.Context) error {
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", s.name, err)
-	}
-	return nil
-}
-
 // acceptedKey is the context key of the time at which a connection was accepted.
 type acceptedKey struct{}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
+	"github.com/hawthornrock/hawthornrock/transport/serve"
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
 
@@ -127,7 +128,7 @@
 // requests in flight get their answers, and Run returns.
 func (g *Gateway) Run(ctx context.Context) error {
 	var (
-		servers []*listener
+		servers []*serve.Server
 		err     error
 	)
 	if servers, err = g.listen(); err != nil {
@@ -140,7 +141,7 @@
 	g.startControl()
 	g.startTasks(work)
 	for _, s := range servers {
-		g.tasks.Go(work, s.name, s.run)
+		g.tasks.Go(work, s.Name, s.Run)
 	}
 	<-ctx.Done()
 	g.drain(servers)
@@ -163,7 +164,7 @@
 
 // drain sends callers elsewhere and waits until the requests in flight have their
 // answers.
-func (g *Gateway) drain(servers []*listener) {
+func (g *Gateway) drain(servers []*serve.Server) {
 	began := clock.Boot()
 	g.leaving.Store(true)
 	g.logger.Info().Str("event", "drain").Int("in_flight", g.board.total()).Msg("daemon leaves")
@@ -179,7 +180,7 @@
 	left := g.board.total()
 	g.monitor.Check(left == 0, invariant.GracefulStop, "%d requests in flight at the end of a planned stop", left)
 	for _, s := range servers {
-		s.close()
+		s.Close(closeTimeout)
 	}
 }
 
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/transport/serve"
 )
 
 const (
@@ -24,16 +24,9 @@
 	closeTimeout = 300 * time.Millisecond
 )
 
-// A listener is one address that the daemon serves.
-type listener struct {
-	name string
-	net  net.Listener
-	http *http.Server
-}
-
 // listen opens all listeners.
-func (g *Gateway) listen() ([]*listener, error) {
-	var servers []*listener
+func (g *Gateway) listen() ([]*serve.Server, error) {
+	var servers []*serve.Server
 	for _, s := range []struct {
 		name, address string
 		handler       http.Handler
@@ -53,35 +46,17 @@
 		)
 		if l, err = net.Listen("tcp", s.address); err != nil {
 			for _, opened := range servers {
-				err = errors.Join(err, opened.net.Close())
+				err = errors.Join(err, opened.Listener.Close())
 			}
 			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		servers = append(servers, &listener{name: s.name, net: l, http: &http.Server{
+		servers = append(servers, &serve.Server{Name: s.name, Listener: l, HTTP: &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
 		}})
 	}
 	return servers, nil
 }
 
-// run serves until the listener is closed.
-func (l *listener) run(context.Context) error {
-	if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve %s: %w", l.name, err)
-	}
-	return nil
-}
-
-// close ends the listener and its connections.
-func (l *listener) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := l.http.Shutdown(ctx); err != nil {
-		// Connections that outlive the timeout are cut.
-		_ = l.http.Close()
-	}
-}
-
 // readyHandler tells the platform whether this daemon can serve.
 func (g *Gateway) readyHandler() http.Handler {
 	mux := http.NewServeMux()
