--- a/coordination/budget/bucket.go
+++ b/coordination/budget/bucket.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/hawthornrock/hawthornrock/coordination/rendezvous"
 )
 
 // A Bucket lets Rate events a second pass, and Burst at once. It is not safe for
@@ -41,18 +41,15 @@
 	if len(members) <= coldSenders {
 		return true
 	}
-	own, before := weight(self, server), 0
+	own, before := rendezvous.Weight(self, server), 0
 	for _, m := range members {
-		if m != self && weight(m, server) > own {
+		if m != self && rendezvous.Weight(m, server) > own {
 			before++
 		}
 	}
 	return before < coldSenders
 }
 
-// weight returns the rendezvous weight of daemon for server.
-func weight(daemon, server string) uint64 { return xxhash.Sum64String(daemon + "\x00" + server) }
-
 // ColdShare returns the rate and burst of one of those that may send to a cold server
 // where there are members daemons, so that all of them together send no more than
 // perSecond in any second.
--- a/coordination/relay/hubs.go
+++ b/coordination/relay/hubs.go
@@ -8,6 +8,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hawthornrock/hawthornrock/coordination/rendezvous"
 )
 
 const (
@@ -44,6 +46,6 @@
 // spread over all.
 func Order(self string, hubs []string) []string {
 	return slices.SortedFunc(slices.Values(hubs), func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(self+"\x00"+b), xxhash.Sum64String(self+"\x00"+a))
+		return cmp.Compare(rendezvous.Weight(self, b), rendezvous.Weight(self, a))
 	})
 }
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -6,7 +6,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/hawthornrock/hawthornrock/coordination/rendezvous"
 )
 
 // A Candidate is one replica that may run a request. Near means that it is in the
@@ -64,7 +64,7 @@
 	if best < 0 || key == "" {
 		return best
 	}
-	home := rendezvous(key, candidates)
+	home := heaviest(key, candidates)
 	if candidates[home].Free() && candidates[home].InFlight <= candidates[best].InFlight+p.Slack {
 		return home
 	}
@@ -89,7 +89,7 @@
 // compare orders candidates from best to worst.
 func compare(key string, a, b Candidate) int {
 	return cmp.Or(cmp.Compare(a.InFlight, b.InFlight), first(a.Warming, b.Warming), first(a.Near, b.Near),
-		cmp.Compare(weight(key, a.Name), weight(key, b.Name)))
+		cmp.Compare(rendezvous.Weight(key, a.Name), rendezvous.Weight(key, b.Name)))
 }
 
 // first orders true before false.
@@ -103,20 +103,17 @@
 	return 1
 }
 
-// rendezvous returns the candidate with the highest weight for key.
-func rendezvous(key string, candidates []Candidate) int {
+// heaviest returns the candidate with the highest weight for key.
+func heaviest(key string, candidates []Candidate) int {
 	i := 0
 	for j := range candidates {
-		if weight(key, candidates[j].Name) > weight(key, candidates[i].Name) {
+		if rendezvous.Weight(key, candidates[j].Name) > rendezvous.Weight(key, candidates[i].Name) {
 			i = j
 		}
 	}
 	return i
 }
 
-// weight returns the rendezvous weight of name for key.
-func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
-
 // Names returns the names of the policies that New knows.
 func Names() []string { return []string{"least_load", "prefix_affinity", "round_robin"} }
 
