--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	g.metrics.storeCalls.Add("heartbeat", 1)
 	sent := clock.Boot()
-	if _, err = g.store.Put(ctx, platform.TopicDaemons, g.settings.Front, data); err != nil {
+	if err = g.store.Put(ctx, platform.TopicDaemons, g.settings.Front, data); err != nil {
 		g.metrics.storeFailures.Add("heartbeat", 1)
 		g.logger.Warn().Str("event", "heartbeat_failed").Err(err).Msg("write heartbeat")
 		return
