fix: a failure that is too large is not passed on in part

Cause: streams read a server's failure by a copy of the reading of plain answers, without its look at what lies beyond the bound of 8 MB: a longer one was cut there and passed on as whole, signed. readAnswer serves both now. Ruled out: that the length header would show it (passOn sets it anew).

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -15,14 +16,14 @@
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
-// maxPlainAnswer bounds the answer of a plain service, which is read whole before
-// any of it is passed on, in bytes.
+// maxPlainAnswer bounds the answer of a plain service, and a failure of any, which
+// are read whole before any of them is passed on, in bytes.
 const maxPlainAnswer = 8 << 20
 
 // errTooLarge means that an answer is larger than a daemon passes on.
 var errTooLarge = errors.New("answer is too large")
 
-// A plainAnswer is the whole answer of a plain service.
+// A plainAnswer is the whole answer of a plain service, or the failure of any.
 type plainAnswer struct {
 	status int
 	header http.Header
@@ -131,19 +132,30 @@
 		return nil, s, err
 	}
 	defer resp.Body.Close()
+	answer, err := readAnswer(resp)
+	if err != nil {
+		return nil, lost, err
+	}
+	g.board.event(a, time.Now())
+	g.metrics.plain.observe(time.Since(a.sentAt))
+	return answer, answered, nil
+}
+
+// readAnswer reads an answer whole, so that none of it is passed on if it breaks off. A
+// status that says that the request did not run needs proof, which send has looked for.
+func readAnswer(resp *http.Response) (*plainAnswer, error) {
 	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header}
+	var err error
 	if answer.body, err = io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer+1)); err != nil {
-		return nil, lost, err
+		return nil, err
 	}
 	if len(answer.body) > maxPlainAnswer {
-		return nil, lost, errTooLarge
+		return nil, errTooLarge
 	}
 	if promises(answer.status) {
-		return nil, lost, errors.New("status " + strconv.Itoa(answer.status) + " without proof")
+		return nil, fmt.Errorf("status %d without proof", answer.status)
 	}
-	g.board.event(a, time.Now())
-	g.metrics.plain.observe(time.Since(a.sentAt))
-	return answer, answered, nil
+	return answer, nil
 }
 
 // passOn passes a whole answer to the caller.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -230,7 +230,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return answered, g.takeFailure(resp)
+		return answered, takeFailure(resp)
 	}
 	if err = g.relay(s, a, resp); err != nil {
 		if ctx.Err() == nil {
@@ -269,15 +269,11 @@
 }
 
 // takeFailure returns the failure that a server answered with.
-func (g *Gateway) takeFailure(resp *http.Response) error {
-	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header}
-	var err error
-	if answer.body, err = io.ReadAll(io.LimitReader(resp.Body, maxPlainAnswer)); err != nil {
+func takeFailure(resp *http.Response) error {
+	answer, err := readAnswer(resp)
+	if err != nil {
 		return err
 	}
-	if promises(answer.status) {
-		return fmt.Errorf("status %d without proof", answer.status)
-	}
 	return &serverError{answer: answer}
 }
 
