refactor: a leader's calls about terms and its looks are each written once; what is over is forgotten

readTerms and claim were the same but for the call (ask), suspect and lookAgain had the same look at when a replica or server was last looked at (lookDue); confirm made a seat and dropped it to set how long the register keeps a finding. Test: gateway.TestLooksThatAreOverAreForgotten.

--- a/gateway/board.go
+++ b/gateway/board.go
@@ -107,7 +107,6 @@
 func (b *board) seat(target string) *seat {
 	if b.seats == nil {
 		b.seats = make(map[string]*seat)
-		b.register.For = convictedFor
 	}
 	s, ok := b.seats[target]
 	if !ok {
@@ -344,8 +343,7 @@
 func (b *board) confirm(crash quarantine.Crash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.seat("")
-	delete(b.seats, "")
+	b.register.For = convictedFor
 	now := time.Now()
 	// What has run to its end here does not crash servers.
 	crash.Suspects = slices.DeleteFunc(slices.Clone(crash.Suspects), func(f quarantine.Fingerprint) bool {
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -73,3 +73,20 @@
 		})
 	}
 }
+
+// TestLooksThatAreOverAreForgotten is a lead that lasts for weeks: servers come and go,
+// and none of them is remembered for having been looked at.
+func TestLooksThatAreOverAreForgotten(t *testing.T) {
+	c := newControl()
+	c.leadership.probing, c.leadership.alive = make(map[string]time.Duration), make(map[string]time.Duration)
+	require.True(t, c.lookDue(0, "s"))
+	require.False(t, c.lookDue(probeInterval, "s"), "looked at lately")
+	c.takeAlive(0, aliveElsewhere{servers: []string{"s"}})
+	c.forgetDead(probeInterval)
+	require.Len(t, c.leadership.probing, 1)
+	require.Len(t, c.leadership.alive, 1)
+	c.forgetDead(aliveFor)
+	require.Empty(t, c.leadership.probing)
+	require.Empty(t, c.leadership.alive)
+	require.True(t, c.lookDue(aliveFor, "s"))
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
@@ -88,32 +89,33 @@
 // leaves time for drift of clocks and orders on their way.
 var tenureBounds = tenure.Bounds{Hold: 1600 * time.Millisecond, Wait: 2 * time.Second}
 
-// readTerms finds out how many terms there were.
-func (c *control) readTerms() {
+// ask makes a call about terms and tells the control state its end. kind is for the
+// counters.
+func (c *control) ask(kind string, call func(ctx context.Context) any) {
 	g := c.gateway
 	c.leadership.asking = true
-	g.work.Go(context.Background(), "terms", func(ctx context.Context) error {
+	g.work.Go(context.Background(), kind, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		g.metrics.storeCalls.Add("terms", 1)
-		end, err := g.store.End(ctx, platform.TopicTerms)
-		g.tell(termsRead{end: end, err: err})
+		g.metrics.storeCalls.Add(kind, 1)
+		g.tell(call(ctx))
 		return nil
 	})
 }
 
+// readTerms finds out how many terms there were.
+func (c *control) readTerms() {
+	c.ask("terms", func(ctx context.Context) any {
+		end, err := c.gateway.store.End(ctx, platform.TopicTerms)
+		return termsRead{end: end, err: err}
+	})
+}
+
 // claim tries to take the term at end.
 func (c *control) claim(end int64) {
-	g := c.gateway
-	c.leadership.asking = true
-	g.work.Go(context.Background(), "claim", func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		g.metrics.storeCalls.Add("claim", 1)
+	c.ask("claim", func(ctx context.Context) any {
 		sent := clock.Boot()
-		err := g.store.AppendAt(ctx, platform.TopicTerms, end, g.incarnation)
-		g.tell(claimed{sentAt: sent, err: err})
-		return nil
+		return claimed{sentAt: sent, err: c.gateway.store.AppendAt(ctx, platform.TopicTerms, end, c.gateway.incarnation)}
 	})
 }
 
@@ -242,12 +244,22 @@
 
 // lookAgain finds out whether s lives, unless that was done lately.
 func (c *control) lookAgain(now time.Duration, s site.Server) {
-	if last, ok := c.leadership.probing[s.ID]; !ok || now-last > probeInterval {
-		c.leadership.probing[s.ID] = now
+	if c.lookDue(now, s.ID) {
 		c.look([]site.Server{s})
 	}
 }
 
+// lookDue returns whether the replica or server of the given name was not looked at
+// lately, and notes that it is.
+func (c *control) lookDue(now time.Duration, name string) bool {
+	last, ok := c.leadership.probing[name]
+	if ok && now-last <= probeInterval {
+		return false
+	}
+	c.leadership.probing[name] = now
+	return true
+}
+
 // describeInterval is the time between two log lines about the fleet.
 const describeInterval = 2 * time.Second
 
@@ -330,8 +342,7 @@
 		return
 	}
 	for _, name := range groups {
-		if last, ok := c.leadership.probing[name]; !ok || now-last > probeInterval {
-			c.leadership.probing[name] = now
+		if c.lookDue(now, name) {
 			c.probe(name)
 		}
 	}
@@ -434,8 +445,10 @@
 }
 
 // forgetDead forgets dead servers that have a new life or are still listed although
-// a silent one would have lapsed.
+// a silent one would have lapsed, and looks and answers that are too old to count.
 func (c *control) forgetDead(now time.Duration) {
+	maps.DeleteFunc(c.leadership.probing, func(_ string, at time.Duration) bool { return now-at > probeInterval })
+	maps.DeleteFunc(c.leadership.alive, func(_ string, at time.Duration) bool { return now-at >= aliveFor })
 	for id, d := range c.leadership.dead {
 		e, ok := c.servers.entries[id]
 		if ok && e.server.Born != d.born || now-d.at > deadFor {
