fix: SIGHUP puts the servers' heartbeat interval in force

Cause: the roster took heartbeat_ms once, at the start, while all other bounds are read where they are used; the settings page said so as a limit. remove is told the interval now, and the roster keeps none. Ruled out: to set it in Reload, from another thread than the one of the control state. Before, after: an entry idle for 1.5 s after heartbeats were set to 0.5 s counts as left, as cut off.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -57,7 +57,6 @@
 	}
 	c.leadership.dead, c.leadership.alive = make(map[string]deadServer), make(map[string]time.Duration)
 	c.leadership.candidate.Bounds = tenureBounds
-	c.servers.heartbeat = g.settings.Bounds.ServerHeartbeat
 	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
 
@@ -242,7 +241,7 @@
 // takeRemoval takes that an entry was removed. A server that is cut off from the store
 // stays a member of its replica for a while, unless it is known to be dead.
 func (c *control) takeRemoval(now time.Duration, r relay.Record) {
-	if !c.servers.remove(now, r) {
+	if !c.servers.remove(now, r, c.gateway.bounds().ServerHeartbeat) {
 		return
 	}
 	c.dirty = true
@@ -265,7 +264,7 @@
 		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).Err(err).Msg("entry names no server")
 	}
 	c.broken[r.Key] = r.Offset
-	c.dirty = c.servers.remove(now, r) || c.dirty
+	c.dirty = c.servers.remove(now, r, 0) || c.dirty
 }
 
 // coldFor returns how long a server of s's service is cold after its start.
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -90,3 +90,24 @@
 	require.Empty(t, c.leadership.alive)
 	require.True(t, c.lookDue(aliveFor, "s"))
 }
+
+// TestReloadedHeartbeatOfServers puts another interval of heartbeats in force, and lets
+// an entry lapse that was idle for less than two of the first.
+func TestReloadedHeartbeatOfServers(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		heartbeat time.Duration
+		want      bool
+	}{
+		{"longer", 2 * time.Second, false},
+		{"shorter", 500 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newControl()
+			c.gateway.Reload(site.Settings{Bounds: site.Bounds{ServerHeartbeat: tc.heartbeat}})
+			c.servers.put(0, 1, site.Server{ID: "s", Born: 1, Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Ready}}, 0)
+			c.takeRemoval(0, relay.Record{Key: "s", Offset: 2, Idle: 1500 * time.Millisecond})
+			require.Equal(t, tc.want, c.servers.entries["s"].silent)
+		})
+	}
+}
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -46,8 +46,6 @@
 	entries    map[string]entry
 	removed    map[string]int64
 	graceUntil time.Duration
-	// heartbeat is the time between two entries of a server, zero if it is not known.
-	heartbeat time.Duration
 }
 
 // storeReturned lets entries that lapsed meanwhile come back.
@@ -92,7 +90,8 @@
 }
 
 // remove takes the removal of an entry and returns whether that changed the list.
-func (r *roster) remove(now time.Duration, record relay.Record) bool {
+// heartbeat is the time between two entries of a server, zero if it is not known.
+func (r *roster) remove(now time.Duration, record relay.Record, heartbeat time.Duration) bool {
 	e, ok := r.entries[record.Key]
 	if r.removed != nil {
 		r.removed[record.Key] = record.Offset
@@ -105,7 +104,7 @@
 		r.entries[record.Key] = e
 		return false
 	}
-	if r.cutOff(e, record.Idle) {
+	if e.cutOff(record.Idle, heartbeat) {
 		e.goneAt, e.silent, e.offset = now+silentFor, true, record.Offset
 		r.entries[record.Key] = e
 		return true
@@ -117,9 +116,9 @@
 // cutOff returns whether the entry of a member of a replica, removed after it was idle
 // for a time, lapsed because its server is cut off from the store. One that leaves, also
 // without a word, has written lately.
-func (r *roster) cutOff(e entry, idle time.Duration) bool {
+func (e entry) cutOff(idle, heartbeat time.Duration) bool {
 	member := e.server.Member.State >= site.Ready && e.server.Member.State != site.Broken
-	return member && !e.silent && !e.server.Draining && r.heartbeat > 0 && idle >= silentHeartbeats*r.heartbeat
+	return member && !e.server.Draining && heartbeat > 0 && idle >= silentHeartbeats*heartbeat
 }
 
 // forget drops the entry of a server that is cut off from the store and does not
@@ -140,7 +139,7 @@
 	}
 	for id, e := range r.entries {
 		if !listed[id] {
-			r.remove(now, relay.Record{Key: id, Offset: max(news.End, e.offset+1)})
+			r.remove(now, relay.Record{Key: id, Offset: max(news.End, e.offset+1)}, 0)
 		}
 	}
 }
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -25,25 +25,25 @@
 		at   time.Duration
 	}{
 		{"listed", func(*roster) {}, true, 0},
-		{"removed", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 11}) }, false, 0},
-		{"removed_before", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 9}) }, true, 0},
+		{"removed", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 11}, 0) }, false, 0},
+		{"removed_before", func(r *roster) { r.remove(0, relay.Record{Key: "s", Offset: 9}, 0) }, true, 0},
 		{"lapsed_while_the_store_was_away", func(r *roster) {
 			r.storeReturned(0)
-			r.remove(0, relay.Record{Key: "s", Offset: 11})
+			r.remove(0, relay.Record{Key: "s", Offset: 11}, 0)
 		}, true, time.Second},
 		{"lapsed_and_not_back", func(r *roster) {
 			r.storeReturned(0)
-			r.remove(0, relay.Record{Key: "s", Offset: 11})
+			r.remove(0, relay.Record{Key: "s", Offset: 11}, 0)
 		}, false, lapsedGrace},
 		{"lapsed_and_back", func(r *roster) {
 			r.storeReturned(0)
-			r.remove(0, relay.Record{Key: "s", Offset: 11})
+			r.remove(0, relay.Record{Key: "s", Offset: 11}, 0)
 			r.put(time.Second, 12, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 4}, 0)
 		}, true, lapsedGrace},
 		{"leaving_when_it_lapsed", func(r *roster) {
 			r.put(0, 11, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 4, Draining: true}, 0)
 			r.storeReturned(0)
-			r.remove(0, relay.Record{Key: "s", Offset: 12})
+			r.remove(0, relay.Record{Key: "s", Offset: 12}, 0)
 		}, false, 0},
 		{"not_among_the_newest", func(r *roster) { r.reset(0, relay.News{End: 20}) }, false, 0},
 	} {
@@ -75,9 +75,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			s := site.Server{ID: "s", Service: "models", Born: 5, Sequence: 3, Member: site.Membership{Group: "m/1/1", Epoch: 1, Rank: 1, State: site.Ready}}
 			tc.change(&s)
-			r := &roster{heartbeat: heartbeat}
+			r := &roster{}
 			r.put(0, 10, s, 0)
-			require.True(t, r.remove(tc.after, relay.Record{Key: "s", Offset: 11, Idle: tc.after}))
+			require.True(t, r.remove(tc.after, relay.Record{Key: "s", Offset: 11, Idle: tc.after}, heartbeat))
 			require.Equal(t, tc.want, r.entries["s"].silent)
 			if !tc.want {
 				require.Empty(t, r.all())
@@ -93,9 +93,9 @@
 		})
 	}
 	t.Run("not_for_ever", func(t *testing.T) {
-		r := &roster{heartbeat: heartbeat}
+		r := &roster{}
 		r.put(0, 10, site.Server{ID: "s", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}, 0)
-		r.remove(3*heartbeat, relay.Record{Key: "s", Offset: 11, Idle: 3 * heartbeat})
+		r.remove(3*heartbeat, relay.Record{Key: "s", Offset: 11, Idle: 3 * heartbeat}, heartbeat)
 		require.True(t, r.expire(3*heartbeat+silentFor))
 		require.Empty(t, r.all())
 	})
