--- /dev/null
+++ b/coordination/formation/bench_test.go
@@ -0,0 +1,241 @@
+package formation_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// engine is an engine like those of today's deployments.
+var engine = &site.Engine{
+	Slots: 26, LoadsAtOnce: 6, LoadsPerSecond: 4,
+	Models: []site.Model{
+		{Name: "large", Size: 4, Pace: 1, Share: 0.67, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+		{Name: "small", Size: 2, Pace: 0.6, Share: 0.33, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+	},
+}
+
+// A bench is a few servers that carry orders out at once, and a planner. The list
+// stands still for the servers in cut; those in dark do not answer.
+type bench struct {
+	t       *testing.T
+	now     time.Duration
+	planner *formation.Planner
+	fleet   formation.Fleet
+	actual  map[string]site.Server
+	members map[string][]string
+	cut     map[string]bool
+	dark    map[string]bool
+	given   []formation.Order
+	at      []time.Duration
+	// unanswered picks orders that get no answer and are carried out late.
+	unanswered func(formation.Order) bool
+	later      map[time.Duration][]formation.Order
+	joined     map[string]time.Duration
+	// wasReady holds the members that were ready, by replica.
+	wasReady map[string]map[string]bool
+}
+
+// newBench returns a bench with domains of size servers each.
+func newBench(t *testing.T, domains, size int) *bench {
+	b := &bench{
+		t: t, planner: formation.New(1, 0), actual: make(map[string]site.Server), members: make(map[string][]string),
+		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration), later: make(map[time.Duration][]formation.Order),
+		wasReady: make(map[string]map[string]bool),
+		fleet: formation.Fleet{
+			Engine: engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), Out: make(map[string]bool),
+			Last: make(map[string]string), Stall: 6 * time.Second, Ceiling: 20, Window: 5 * time.Second,
+		},
+	}
+	for d := range domains {
+		for n := range size {
+			b.add(fmt.Sprintf("s%d-%d", d, n), fmt.Sprintf("d%d", d))
+		}
+	}
+	return b
+}
+
+// add adds an empty server.
+func (b *bench) add(id, domain string) {
+	s := site.Server{ID: id, Address: id, FailureDomain: "zone", FabricDomain: domain, Born: 1}
+	b.actual[id], b.fleet.Servers[id] = s, s
+}
+
+// lose takes a server away for good; the list drops it.
+func (b *bench) lose(id string) {
+	b.dark[id] = true
+	delete(b.actual, id)
+	delete(b.fleet.Servers, id)
+}
+
+// run lets time pass.
+func (b *bench) run(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := b.now + d; b.now < end; b.now += step {
+		b.load()
+		for _, o := range b.planner.Step(b.now, b.fleet) {
+			b.given, b.at = append(b.given, o), append(b.at, b.now)
+			if b.unanswered != nil && b.unanswered(o) {
+				at := b.now + lateBy
+				b.later[at] = append(b.later[at], o)
+				b.planner.Answered(b.now, o, formation.Unknown)
+				continue
+			}
+			b.planner.Answered(b.now, o, b.carryOut(o))
+		}
+		for _, o := range b.later[b.now] {
+			b.carryOut(o)
+		}
+		b.list()
+	}
+}
+
+// lateBy is how late an order without an answer is carried out.
+const lateBy = 7 * time.Second
+
+// load makes members ready that have loaded.
+func (b *bench) load() {
+	for id, at := range b.joined {
+		if s, ok := b.actual[id]; ok && b.now >= at && s.Member.State == site.Joining {
+			s.Member.State = site.Ready
+			if b.wasReady[s.Member.Group] == nil {
+				b.wasReady[s.Member.Group] = make(map[string]bool)
+			}
+			b.wasReady[s.Member.Group][id] = true
+			s.Staged = []string{formation.ModelOf(s.Member.Group)}
+			b.actual[id] = s
+		}
+	}
+}
+
+// list shows the list what servers report.
+func (b *bench) list() {
+	for id, s := range b.actual {
+		if b.cut[id] {
+			continue
+		}
+		b.fleet.Servers[id] = s
+		if s.Member.State != site.Unassigned {
+			b.fleet.Last[id] = formation.ModelOf(s.Member.Group)
+		}
+	}
+}
+
+// carryOut lets a server carry an order out, and checks what must hold then.
+func (b *bench) carryOut(o formation.Order) formation.Answer {
+	s, ok := b.actual[o.Server]
+	if !ok || b.dark[o.Server] {
+		return formation.Unknown
+	}
+	if o.Action != formation.Stage && o.Action != formation.Join && (s.Member.Group != o.Group || s.Member.Epoch != o.Epoch) {
+		return formation.Declined
+	}
+	switch o.Action {
+	case formation.Join:
+		if o.Epoch < s.Member.Epoch {
+			return formation.Fenced
+		}
+		if o.Group == s.Member.Group {
+			return formation.Accepted
+		}
+		b.checkJoin(s, o)
+		s.Member = site.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, o.Server), State: site.Joining}
+		b.members[o.Group] = o.Members
+		b.joined[o.Server] = b.now + 200*time.Millisecond
+	case formation.Open:
+		if s.Member.State == site.Joining {
+			return formation.Declined
+		}
+		b.checkOpen(o)
+		s.Member.State = site.Open
+	case formation.Close, formation.Preempt:
+		if s.Member.Group != o.Group || s.Member.State != site.Open {
+			return formation.Declined
+		}
+		s.Member.State = site.Ready
+	case formation.Leave:
+		s.Member = site.Membership{}
+	case formation.Stage:
+		s.Staged = []string{o.Model}
+	}
+	b.actual[o.Server] = s
+	return formation.Accepted
+}
+
+// checkJoin checks that the head of the replica that s is in does not serve.
+func (b *bench) checkJoin(s site.Server, o formation.Order) {
+	if s.Member.State == site.Unassigned || s.Member.Group == o.Group {
+		return
+	}
+	head := b.actual[b.members[s.Member.Group][0]]
+	if head.Member.Group == s.Member.Group && head.Member.State == site.Open {
+		for i, given := range b.given {
+			if given.Server == s.ID || given.Group == o.Group || given.Group == s.Member.Group {
+				b.t.Log(b.at[i], given)
+			}
+		}
+	}
+	require.False(b.t, head.Member.Group == s.Member.Group && head.Member.State == site.Open,
+		"at %v %s joins %s while %s is open", b.now, s.ID, o.Group, s.Member.Group)
+}
+
+// checkOpen checks that every member of a replica has been ready when it opens. By
+// the platform's rules one that was ready and is lost excuses: an order to open may
+// be carried out late.
+func (b *bench) checkOpen(o formation.Order) {
+	for _, id := range b.members[o.Group] {
+		require.True(b.t, b.wasReady[o.Group][id], "at %v %s opens, and %s was never ready", b.now, o.Group, id)
+	}
+}
+
+// open returns the number of replicas that serve, by model.
+func (b *bench) open() map[string]int {
+	out := make(map[string]int)
+	for _, s := range b.actual {
+		if s.Member.State == site.Open {
+			out[formation.ModelOf(s.Member.Group)]++
+		}
+	}
+	return out
+}
+
+// head returns the head of a replica of model that serves, and its other members.
+func (b *bench) head(model string) (string, []string) {
+	for _, id := range slices.Sorted(maps.Keys(b.actual)) {
+		if m := b.actual[id].Member; m.State == site.Open && formation.ModelOf(m.Group) == model {
+			return id, b.members[m.Group][1:]
+		}
+	}
+	require.Fail(b.t, "no replica of "+model)
+	return "", nil
+}
+
+// serveOnly lets every server run model, with the other one on its host.
+func (b *bench) serveOnly(model, other string) {
+	for _, m := range engine.Models {
+		if m.Name != model {
+			continue
+		}
+		n := 0
+		for _, id := range slices.Sorted(maps.Keys(b.actual)) {
+			s := b.actual[id]
+			group := fmt.Sprintf("%s/0/%d", model, n/m.Size)
+			s.Member = site.Membership{Group: group, Epoch: int64(1 + n/m.Size), Rank: n % m.Size, State: site.Open}
+			if s.Member.Rank > 0 {
+				s.Member.State = site.Ready
+			}
+			s.Staged = []string{other}
+			b.members[group] = append(b.members[group], id)
+			b.actual[id], b.fleet.Servers[id], b.fleet.Last[id] = s, s, model
+			n++
+		}
+	}
+	b.fleet.Traffic = true
+}
--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -25,6 +25,7 @@
 		_, exists := s.replicas[name]
 		return !exists && s.now-r.at >= forgetAfter
 	})
+	s.forgetLosses()
 }
 
 // seen notes that the replica of the given name has members, or servers held for it.
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -33,7 +33,7 @@
 // gather lists the servers that are free, by their fabric domain.
 func (s *step) gather() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
-		if server := s.fleet.Servers[id]; !s.busy[id] && s.usable(server) && !s.fleet.Silent[id] && !s.out(server) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.out(server) {
 			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
 		}
 	}
@@ -152,9 +152,7 @@
 		if s.cost(server, m) >= m.Load {
 			s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
 		}
-		s.order(Order{
-			Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: m.Name, Members: f.members,
-		})
+		s.orderJoin(server, name, f)
 		s.take(server)
 	}
 }
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -82,16 +82,30 @@
 	}
 }
 
-// remember keeps what is known of a head.
-func (s *step) remember(group string, server site.Server) {
+// lose notes that the replica of h misses a member from now on, if it did not before.
+func (h *head) lose(now time.Duration) {
+	if !h.lost {
+		h.lost, h.lostAt = true, now
+	}
+}
+
+// head returns what is known of the head of group; at first that is nothing.
+func (s *step) head(group string) *head {
 	h, ok := s.planner.heads[group]
 	if !ok {
 		h = &head{}
 		s.planner.heads[group] = h
 	}
+	return h
+}
+
+// remember keeps what is known of a head.
+func (s *step) remember(group string, server site.Server) {
+	_, known := s.planner.heads[group]
+	h := s.head(group)
 	was, is := h.server.Member.State, server.Member.State
 	switch {
-	case !ok || was == is:
+	case !known || was == is:
 	case was == site.Open || was == site.Closing:
 		if is <= site.Ready {
 			// The list has moved on from open, so that this is news of a close.
@@ -107,9 +121,7 @@
 // closeHead keeps the members of r busy until its head has closed.
 func (s *step) closeHead(r *replica, first site.Server) {
 	h := s.planner.heads[r.name]
-	if !h.lost {
-		h.lost, h.lostAt = true, s.now
-	}
+	h.lose(s.now)
 	if !h.mayServe(s.now, first.Member.State) {
 		return
 	}
@@ -118,9 +130,9 @@
 	if s.leaving(r) && s.now-h.lostAt <= queueTime {
 		action = Close
 	}
-	s.order(Order{Server: first.ID, Address: first.Address, Action: action, Group: r.name, Epoch: r.epoch})
+	s.orderAbout(first, action, r.name, r.epoch)
 	if action == Preempt && h.mayOpenLate(s.now) {
-		s.order(Order{Server: first.ID, Address: first.Address, Action: Leave, Group: r.name, Epoch: r.epoch})
+		s.orderAbout(first, Leave, r.name, r.epoch)
 	}
 }
 
@@ -141,14 +153,8 @@
 // more: it is gone, has a new life, or has been without its members for longer
 // than it may stand still.
 func (s *step) withoutHead(r *replica) {
-	h, ok := s.planner.heads[r.name]
-	if !ok {
-		h = &head{}
-		s.planner.heads[r.name] = h
-	}
-	if !h.lost {
-		h.lost, h.lostAt = true, s.now
-	}
+	h := s.head(r.name)
+	h.lose(s.now)
 	h.unlisted = h.server.ID != "" && !s.fleet.Dead[h.server.ID]
 	if s.surelyClosed(r.name) {
 		return
@@ -157,14 +163,15 @@
 	if s.now-h.lostAt < lookFirst {
 		return
 	}
-	for _, server := range r.members {
+	for _, rank := range slices.Sorted(maps.Keys(r.members)) {
+		server := r.members[rank]
 		if s.fleet.Dead[server.ID] || server.ID == h.server.ID {
 			continue
 		}
 		if _, ok := s.planner.held[server.ID]; !ok {
 			s.planner.held[server.ID] = hold{group: r.name, until: s.now + s.fleet.Stall + holdMargin}
 		}
-		s.order(Order{Server: server.ID, Address: server.Address, Action: Leave, Group: r.name, Epoch: r.epoch})
+		s.orderAbout(server, Leave, r.name, r.epoch)
 	}
 }
 
@@ -222,9 +229,7 @@
 		}
 		s.busy[id] = true
 		if first, ok := s.planner.heads[h.group]; ok && first.server.ID != "" {
-			s.order(Order{
-				Server: first.server.ID, Address: first.server.Address, Action: Preempt, Group: h.group, Epoch: first.server.Member.Epoch,
-			})
+			s.orderAbout(first.server, Preempt, h.group, first.server.Member.Epoch)
 		}
 	}
 }
--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -30,10 +30,11 @@
 	return float64(len(p.loads)+1) <= ceiling
 }
 
-// load counts a load of m that server begins.
+// load orders server to load m onto its host, and counts that.
 func (s *step) load(server site.Server, m site.Model) {
 	s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
 	s.planner.loads = append(s.planner.loads, s.now)
+	s.orderStage(server, m)
 }
 
 // stage lets free servers that hold no weights load those that their fabric
@@ -56,7 +57,6 @@
 			}
 			m := s.spareFor(domain)
 			s.load(server, m)
-			s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
 		}
 	}
 	s.restage()
@@ -69,17 +69,15 @@
 		for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 			server := s.fleet.Servers[id]
 			_, loading := s.planner.loading[id]
-			if s.busy[id] == idle || loading || !s.usable(server) || s.fleet.Silent[id] || s.out(server) || !s.mayLoad() {
+			if s.busy[id] == idle || loading || !s.assignable(server) || s.out(server) || !s.mayLoad() {
 				continue
 			}
 			last := s.fleet.Last[id]
 			if last == "" || server.Member.State == site.Joining || !s.onlyOne(server) {
 				continue
 			}
-			if i := slices.IndexFunc(s.fleet.Engine.Models, func(m site.Model) bool { return m.Name != last }); i >= 0 {
-				m := s.fleet.Engine.Models[i]
+			if m, ok := s.other(last); ok {
 				s.load(server, m)
-				s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: m.Name})
 			}
 		}
 	}
@@ -95,24 +93,32 @@
 		for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
 			for i, server := range s.idle[domain] {
 				if len(server.Staged) == 0 {
-					s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: s.needs()[i%len(models)].Name})
+					s.orderStage(server, s.needs()[i%len(models)])
 				}
 			}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 		server := s.fleet.Servers[id]
-		if server.Member.State < site.Ready || len(models) < 2 {
+		if server.Member.State < site.Ready {
 			continue
 		}
 		own := ModelOf(server.Member.Group)
-		i := slices.IndexFunc(models, func(m site.Model) bool { return m.Name != own })
-		if slices.Contains(server.Staged, own) {
-			s.order(Order{Server: id, Address: server.Address, Action: Stage, Model: models[i].Name})
+		if m, ok := s.other(own); ok && slices.Contains(server.Staged, own) {
+			s.orderStage(server, m)
 		}
 	}
 }
 
+// other returns a model beside the one of the given name, if there is one.
+func (s *step) other(name string) (site.Model, bool) {
+	i := slices.IndexFunc(s.fleet.Engine.Models, func(m site.Model) bool { return m.Name != name })
+	if i < 0 {
+		return site.Model{}, false
+	}
+	return s.fleet.Engine.Models[i], true
+}
+
 // spareFor returns the model for a server without weights in domain: the one that is
 // needed most for each load that a replica of it still takes there. The need counts
 // twice, since servers that change over for good are lost to the other model.
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -156,7 +156,6 @@
 	}
 	s.stage()
 	s.forget()
-	s.forgetLosses()
 	return s.orders
 }
 
@@ -194,6 +193,24 @@
 	return true
 }
 
+// orderAbout orders a server to do something about the replica of the given name and
+// epoch, unless it was ordered lately, and returns whether it did.
+func (s *step) orderAbout(server site.Server, a Action, group string, epoch int64) bool {
+	return s.order(Order{Server: server.ID, Address: server.Address, Action: a, Group: group, Epoch: epoch})
+}
+
+// orderJoin orders a server to join the replica of the given name.
+func (s *step) orderJoin(server site.Server, name string, f *formed) {
+	s.order(Order{
+		Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: f.model, Members: f.members,
+	})
+}
+
+// orderStage orders a server to take m onto its host.
+func (s *step) orderStage(server site.Server, m site.Model) {
+	s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
+}
+
 // sentKey names the orders of one kind to one server about one replica.
 func sentKey(server string, a Action, group string) string {
 	return fmt.Sprint(server, " ", int(a), " ", group)
--- a/coordination/formation/retire.go
+++ b/coordination/formation/retire.go
@@ -38,8 +38,7 @@
 			for _, old := range together {
 				r.replicas = append(r.replicas, old.name)
 				p.retired[old.name] = r
-				head := old.members[0]
-				s.order(Order{Server: head.ID, Address: head.Address, Action: Close, Group: old.name, Epoch: old.epoch})
+				s.orderAbout(old.members[0], Close, old.name, old.epoch)
 			}
 			return
 		}
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -31,6 +31,12 @@
 	return !server.Draining && !s.fleet.Dead[server.ID]
 }
 
+// assignable returns whether server can be given something new to do: nobody sees what a
+// silent one does with it.
+func (s *step) assignable(server site.Server) bool {
+	return s.usable(server) && !s.fleet.Silent[server.ID]
+}
+
 // out returns whether operators took the failure domain of server out of service.
 // Its replicas stay as they are, so that they serve as soon as it is taken back.
 func (s *step) out(server site.Server) bool { return s.fleet.Out[server.FailureDomain] }
@@ -130,7 +136,7 @@
 	if s.planner.retired[r.name] != nil || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
 		return
 	}
-	if s.order(Order{Server: first.ID, Address: first.Address, Action: Open, Group: r.name, Epoch: r.epoch}) {
+	if s.orderAbout(first, Open, r.name, r.epoch) {
 		h.openedAt = s.now
 	}
 }
@@ -161,7 +167,7 @@
 func (s *step) abandoned(f *formed) bool {
 	for _, id := range f.members {
 		server, ok := s.fleet.Servers[id]
-		if !ok || !s.usable(server) || s.fleet.Silent[id] {
+		if !ok || !s.assignable(server) {
 			return true
 		}
 		if s.now-f.at > joinTimeout && server.Member.Epoch != f.epoch {
@@ -185,8 +191,6 @@
 		if server.Member.Epoch == f.epoch {
 			continue
 		}
-		s.order(Order{
-			Server: id, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: f.model, Members: f.members,
-		})
+		s.orderJoin(server, name, f)
 	}
 }
