fix: a head that left its replica may join and open it again

Cause: orders to join and to open that had no answer are repeated and may be carried out for seconds. Once the head had left, an order to open was taken to fit it no more, and an answered join of the same epoch to void the late one; a late join of that epoch and then a late open made it serve again, while it was ordered into another replica (rule TWO). Late joins are kept with their replica until a later epoch was taken or their time is over; such a head is not gathered, and nobody waiting for it joins, until then. Ruled out: an order to leave that is repeated (the late join may follow it as well).

--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -12,7 +12,7 @@
 func (s *step) forget() {
 	p := s.planner
 	maps.DeleteFunc(p.sent, func(_ string, o sentOrder) bool { return s.now-o.at >= repeatAfter })
-	maps.DeleteFunc(p.late, func(_ string, l lateJoin) bool { return s.now-l.at >= lateOrder })
+	maps.DeleteFunc(p.late, func(_ string, l lateJoin) bool { return !l.possible(s.now) })
 	maps.DeleteFunc(p.highest, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	for name := range s.replicas {
 		s.seen(name)
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -33,7 +33,7 @@
 // gather lists the servers that are free, by their fabric domain.
 func (s *step) gather() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
-		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.out(server) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.out(server) && !s.mayOpenAgain(server) {
 			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
 		}
 	}
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -57,8 +57,9 @@
 	return listed == site.Ready && h.openedAt > 0 && !stopped
 }
 
-// answered takes the answer to an order to h.
-func (h *head) answered(now time.Duration, action Action, a Answer) {
+// answered takes the answer to an order to h. again means that it may join its replica
+// again by an order that is carried out late.
+func (h *head) answered(now time.Duration, action Action, a Answer, again bool) {
 	h.absent = h.absent || a == Absent
 	switch action {
 	case Open:
@@ -75,8 +76,11 @@
 		}
 	case Leave:
 		if a == Accepted {
+			h.closedAt = now
+		}
+		if a == Accepted && !again {
 			// An order to open does not fit it any more.
-			h.closedAt, h.unansweredAt = now, 0
+			h.unansweredAt = 0
 		}
 	case Join, Close, Stage:
 	}
@@ -193,10 +197,30 @@
 	listed, ok := s.fleet.Servers[h.server.ID]
 	// One that is still listed lives, and may serve those who reach it.
 	gone := s.fleet.Dead[h.server.ID] && !ok
-	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || listed.Member.Group != group)
+	// In no replica, it may join and open again by orders that are carried out late.
+	elsewhere := listed.Member.Group != group && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
+	reborn := ok && h.server.ID != "" && (listed.Born != h.server.Born || elsewhere)
 	return h.absent || reborn || gone || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openedAt && s.now-h.closedAt > closeTime
 }
 
+// openElsewhere returns whether the head of the replica that server is in may serve.
+func (s *step) openElsewhere(server site.Server) bool {
+	r, ok := s.replicas[server.Member.Group]
+	if !ok {
+		return false
+	}
+	first, ok := r.members[0]
+	return ok && s.planner.heads[r.name].mayServe(s.now, first.Member.State)
+}
+
+// mayOpenAgain returns whether server, which left a replica that it was the head of, may
+// join and open it again by orders that are carried out late.
+func (s *step) mayOpenAgain(server site.Server) bool {
+	l := s.planner.late[server.ID]
+	h, ok := s.planner.heads[l.group]
+	return ok && h.server.ID == server.ID && server.Member.Epoch <= l.epoch && l.possible(s.now) && h.mayOpenLate(s.now)
+}
+
 // Unlisted returns the heads that servers are held for: whoever leads finds out
 // whether they live.
 func (p *Planner) Unlisted() []site.Server {
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -76,6 +76,7 @@
 
 // A lateJoin is an order to join that was given at a time and not answered.
 type lateJoin struct {
+	group string
 	epoch int64
 	at    time.Duration
 }
@@ -109,7 +110,8 @@
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
 	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, unanswered: a == Unknown && o.Action != Stage}
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
-		h.answered(now, o.Action, a)
+		late := p.late[o.Server]
+		h.answered(now, o.Action, a, late.group == o.Group && late.possible(now))
 	}
 	if o.Action == Join {
 		p.joinAnswered(now, o, a)
@@ -132,16 +134,24 @@
 }
 
 // joinAnswered notes whether an order to join may be carried out late. A server
-// that has taken a later one refuses it.
+// that has taken one of a later epoch refuses it; one of the same epoch changes nothing
+// for as long as the server does not leave.
 func (p *Planner) joinAnswered(now time.Duration, o Order, a Answer) {
+	late := p.late[o.Server]
 	switch {
+	case a == Unknown && o.Epoch >= late.epoch:
+		p.late[o.Server] = lateJoin{group: o.Group, epoch: o.Epoch, at: now}
 	case a == Unknown:
-		p.late[o.Server] = lateJoin{epoch: max(o.Epoch, p.late[o.Server].epoch), at: now}
-	case a == Accepted && o.Epoch >= p.late[o.Server].epoch, a == Absent:
+		late.at = now
+		p.late[o.Server] = late
+	case a == Accepted && o.Epoch > late.epoch, a == Absent:
 		delete(p.late, o.Server)
 	}
 }
 
+// possible returns whether l may still be carried out.
+func (l lateJoin) possible(now time.Duration) bool { return l.group != "" && now-l.at < lateOrder }
+
 // Step returns the orders to give at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
 	p.steppedAt = now
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -247,6 +247,38 @@
 	require.NotEmpty(t, b.open())
 }
 
+// TestLateOrdersAfterLeaving is rapid's seed 3 at 2,000 histories: a head left its replica
+// and is to join another one, while orders to join and to open the old one, which were repeated
+// as they had no answer, are carried out late.
+func TestLateOrdersAfterLeaving(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.fleet.Demand = map[string]float64{"large": 0.01, "small": 0.99}
+	for _, id := range slices.Sorted(maps.Keys(b.actual)) {
+		s := b.actual[id]
+		s.Staged = []string{"small"}
+		b.actual[id], b.fleet.Servers[id] = s, s
+	}
+	b.fleet.Traffic = true
+	given := make(map[string]int)
+	var lost time.Duration
+	b.unanswered = func(o formation.Order) bool {
+		if lost == 0 {
+			key := fmt.Sprint(o.Server, o.Action, o.Group)
+			given[key]++
+			return given[key] == 1
+		}
+		// The orders to leave the old replica, right after the loss, are answered.
+		return b.now > lost && b.now < lost+1800*time.Millisecond
+	}
+	b.run(6 * time.Second)
+	require.Equal(t, 2, b.open()["small"])
+	_, others := b.head("small")
+	b.lose(others[0])
+	lost = b.now
+	b.run(30 * time.Second)
+	require.NotEmpty(t, b.open())
+}
+
 // TestOrdersWithoutAnswerAreRepeatedSoon is the pattern of trouble-1: a part of all
 // orders gets no answer and is carried out seconds later, while servers are lost.
 func TestOrdersWithoutAnswerAreRepeatedSoon(t *testing.T) {
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -19,7 +19,7 @@
 // another replica.
 func (s *step) mayLeave(r *replica) bool {
 	for _, server := range r.members {
-		if l, ok := s.planner.late[server.ID]; ok && l.epoch > r.epoch && s.now-l.at < lateOrder {
+		if l, ok := s.planner.late[server.ID]; ok && l.epoch > r.epoch && l.possible(s.now) {
 			return true
 		}
 	}
@@ -188,7 +188,7 @@
 	for _, id := range f.members {
 		s.busy[id], s.serving[id] = true, true
 		server := s.fleet.Servers[id]
-		if server.Member.Epoch == f.epoch {
+		if server.Member.Epoch == f.epoch || s.openElsewhere(server) {
 			continue
 		}
 		s.orderJoin(server, name, f)
