feat: spares hold the models whose losses cost most in their fabric domain

A loss of a large replica takes seven others out, and is as frequent as one of two small ones with three each. They take models in proportion to the servers of the domain that run one, times the size of its replicas. Ruled out: that loads bind there (hosts with one model at half of the loads gained nothing).

--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -88,12 +88,13 @@
 // that are left over take one. It is free only before callers come. A member that
 // rejoins its own model needs no host.
 func (s *step) stageOthers() {
-	models := s.fleet.Engine.Models
 	if s.settled() {
+		weights := s.weights()
 		for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
+			spares := s.spares(weights[domain], len(s.idle[domain]))
 			for i, server := range s.idle[domain] {
 				if len(server.Staged) == 0 {
-					s.orderStage(server, s.needs()[i%len(models)])
+					s.orderStage(server, spares[i])
 				}
 			}
 		}
@@ -110,6 +111,47 @@
 	}
 }
 
+// weights returns what a loss of the servers of each fabric domain costs, by the model that
+// they run or are to run: each takes all members of its replica with it.
+func (s *step) weights() map[string]map[string]int {
+	runs := make(map[string]string, len(s.fleet.Servers))
+	for id, server := range s.fleet.Servers {
+		runs[id] = ModelOf(server.Member.Group)
+	}
+	for _, f := range s.planner.forming {
+		for _, id := range f.members {
+			runs[id] = f.model
+		}
+	}
+	out := make(map[string]map[string]int)
+	for id, server := range s.fleet.Servers {
+		if out[server.FabricDomain] == nil {
+			out[server.FabricDomain] = make(map[string]int)
+		}
+		for _, m := range s.fleet.Engine.Models {
+			if m.Name == runs[id] {
+				out[server.FabricDomain][m.Name] += m.Size
+			}
+		}
+	}
+	return out
+}
+
+// spares returns the models that n servers which are left over are to hold, in proportion
+// to weight.
+func (s *step) spares(weight map[string]int, n int) []site.Model {
+	models, given := s.needs(), make(map[string]int)
+	out := make([]site.Model, 0, n)
+	for range n {
+		m := slices.MaxFunc(models, func(a, b site.Model) int {
+			return cmp.Compare((weight[a.Name]+1)*(given[b.Name]+1), (weight[b.Name]+1)*(given[a.Name]+1))
+		})
+		given[m.Name]++
+		out = append(out, m)
+	}
+	return out
+}
+
 // other returns a model beside the one of the given name, if there is one.
 func (s *step) other(name string) (site.Model, bool) {
 	i := slices.IndexFunc(s.fleet.Engine.Models, func(m site.Model) bool { return m.Name != name })
