--- a/coordination/budget/budget_test.go
+++ b/coordination/budget/budget_test.go
@@ -36,40 +36,50 @@
 	// Output: 7
 }
 
-// TestRetriesOfAllDaemons lets daemons spend their shares at random, and checks
-// every window.
+// TestRetriesOfAllDaemons lets daemons spend their shares at random, far beyond what they
+// may, and checks every window.
 func TestRetriesOfAllDaemons(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const span = 10 * time.Second
+		const (
+			span         = 10 * time.Second
+			ratio, slack = 0.2, 30.0
+		)
 		daemons := rapid.IntRange(1, 9).Draw(t, "daemons")
 		shares := make([]budget.Retries, daemons)
 		for i := range shares {
-			shares[i] = budget.Retries{Ratio: 0.2, Slack: 130, Span: span}
+			shares[i] = budget.Retries{Ratio: ratio, Slack: slack, Span: span}
 		}
-		var repeats []time.Duration
+		var repeats, requests []time.Duration
 		now := time.Duration(0)
-		for range rapid.IntRange(1, 400).Draw(t, "steps") {
-			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
 			share := &shares[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
-			if rapid.Bool().Draw(t, "request") {
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
 				share.Request(now)
+				requests = append(requests, now)
 			} else if share.Take(now, daemons) {
 				repeats = append(repeats, now)
 			}
 		}
+		// A repeat counts on the requests of the window before it.
 		for i, from := range repeats {
-			n := 0
-			for _, at := range repeats[i:] {
-				if at-from < span {
-					n++
-				}
-			}
-			// Requests are at most the steps of two windows.
-			require.LessOrEqual(t, float64(n), 0.2*400+130)
+			asked := within(requests, from-span, from+span)
+			require.LessOrEqual(t, float64(within(repeats[i:], from-1, from+span-1)), ratio*float64(asked)+slack)
 		}
 	})
 }
 
+// within returns how many of times are after from and not after to.
+func within(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
 // TestColdShares checks that all daemons together send a cold server no more than it
 // bears in any second, also where two have come that the others do not know, and that
 // it gets work.
