fix: what a head says while it forms its replica does not show that it is closed

Cause found by following its times: a new leader that has an old list opens a replica whose member is dead. The head forms the replica for 0.3 s; an order to close in that time is declined, which counted as closed, and members were ordered away as it opened. An answer to an order to close within 1.2 s of an order to open shows nothing now, unless the list shows the replica open, and the order is repeated soon. Ruled out: late orders to open (fenced by the term), heads that the list shows broken, spares that join first (the fault is in the code before as well).

--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -54,6 +54,9 @@
 	// work is how long heads take to finish their work when they close.
 	work    time.Duration
 	closing map[string]time.Duration
+	// form is how long heads that are ordered to open take to do so; opening is when.
+	form    time.Duration
+	opening map[site.Membership]time.Duration
 	later   map[time.Duration][]formation.Order
 	joined  map[string]time.Duration
 	// left is the replica that each server has left last.
@@ -70,7 +73,7 @@
 func newBench(t *testing.T, domains, size int) *bench {
 	b := &bench{
 		t: t, planner: formation.New(1, 0), actual: make(map[string]site.Server), members: make(map[string][]string),
-		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration), left: make(map[string]string), missing: make(map[string]time.Duration), seen: make(map[string]int64), closing: make(map[string]time.Duration), later: make(map[time.Duration][]formation.Order),
+		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration), left: make(map[string]string), missing: make(map[string]time.Duration), seen: make(map[string]int64), closing: make(map[string]time.Duration), opening: make(map[site.Membership]time.Duration), later: make(map[time.Duration][]formation.Order),
 		wasReady: make(map[string]map[string]bool),
 		fleet: formation.Fleet{
 			Engine: engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), Out: make(map[string]bool),
@@ -149,8 +152,16 @@
 	}
 }
 
-// finish makes heads ready that have finished their work.
+// finish makes heads ready that have finished their work, and opens those that have
+// formed their replica.
 func (b *bench) finish() {
+	for id, s := range b.actual {
+		if at, ok := b.opening[s.Member]; ok && b.now >= at {
+			delete(b.opening, s.Member)
+			s.Member.State = site.Open
+			b.actual[id] = s
+		}
+	}
 	for id, at := range b.closing {
 		if s, ok := b.actual[id]; ok && b.now >= at && s.Member.State == site.Closing {
 			s.Member.State = site.Ready
@@ -222,6 +233,10 @@
 			return formation.Declined
 		}
 		b.checkOpen(o)
+		if b.form > 0 {
+			b.opening[s.Member] = b.now + b.form
+			return formation.Accepted
+		}
 		s.Member.State = site.Open
 	case formation.Close, formation.Preempt:
 		if s.Member.Group != o.Group || s.Member.State != site.Open && s.Member.State != site.Closing {
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -57,6 +57,16 @@
 	return listed == site.Ready && h.openedAt > 0 && !stopped
 }
 
+// openTime is how long a head takes at most from an order to open until the list shows it:
+// 0.3 s to form its replica by the platform's pages, the way, and the lag of the list.
+const openTime = 1200 * time.Millisecond
+
+// opening returns whether h may be forming its replica: what it says of an order to close
+// does not hold for the time after that.
+func (h *head) opening(now time.Duration) bool {
+	return h.server.Member.State == site.Ready && h.openedAt > 0 && now-h.openedAt < openTime
+}
+
 // answered takes the answer to an order to h. again means that it may join its replica
 // again by an order that is carried out late.
 func (h *head) answered(now time.Duration, action Action, a Answer, again bool) {
@@ -71,7 +81,7 @@
 		}
 	case Preempt:
 		// A head that declines is not open.
-		if a == Accepted || a == Declined {
+		if (a == Accepted || a == Declined) && !h.opening(now) {
 			h.closedAt = now
 		}
 	case Leave:
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -110,11 +110,13 @@
 
 // Answered takes the answer to an order that Step returned.
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
-	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, unanswered: a == Unknown && o.Action != Stage}
+	again := a == Unknown && o.Action != Stage
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
+		again = again || o.Action == Preempt && h.opening(now)
 		late := p.late[o.Server]
 		h.answered(now, o.Action, a, late.group == o.Group && late.possible(now))
 	}
+	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, unanswered: again}
 	if o.Action == Join {
 		p.joinAnswered(now, o, a)
 	}
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -333,6 +333,7 @@
 		b.run(8 * time.Second)
 		b.hold(rapid.SampledFrom([]string{"small", "large"}).Draw(rt, "spares"))
 		b.fleet.Traffic = true
+		b.form = time.Duration(rapid.IntRange(0, 3).Draw(rt, "form")) * 100 * time.Millisecond
 		share := rapid.IntRange(0, 5).Draw(rt, "share")
 		b.unanswered = func(formation.Order) bool { return rapid.IntRange(0, 9).Draw(rt, "late") < share }
 		for n := range rapid.IntRange(1, 12).Draw(rt, "events") {
@@ -354,6 +355,25 @@
 	})
 }
 
+// TestHeadThatIsOpening is day hunt-6d01-7 of the grown observatory: a leader opens a replica
+// whose member it does not know to be dead yet. The head declines to close while it forms the
+// replica, and opens after that.
+func TestHeadThatIsOpening(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	head, others := b.head("large")
+	s := b.actual[head]
+	s.Member.State = site.Ready
+	b.actual[head], b.fleet.Servers[head] = s, s
+	b.form = 300 * time.Millisecond
+	b.planner = formation.New(2, b.now)
+	b.run(200 * time.Millisecond)
+	b.dark[others[0]], b.fleet.Dead[others[0]] = true, true
+	b.run(8 * time.Second)
+	require.NotEmpty(t, b.open())
+}
+
 // TestOvertaken tells the refusal of a server that has had orders of a later leader from
 // that of one that has had a later order to join of the same planner.
 func TestOvertaken(t *testing.T) {
