refactor: tests of the entry start a system of a plan in one way

Three tests repeated the fifteen lines in which a system is started, given a sheet and waited for. startPlan has them; the test of spans looks at the violations counted as well now.

--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -18,18 +17,9 @@
 	plan := demo.DefaultPlan()
 	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 2, 3
 	plan.Engine.WarmAfter = 1000
-	s, err := demo.Start(plan)
-	require.NoError(t, err)
-	t.Cleanup(func() {
-		require.NoError(t, s.Stop())
-		require.Zero(t, s.Violations())
-	})
 	sheet := demo.Sheet(plan.FailureDomains)[:1]
 	sheet[0].Replicas = 1
-	publish(t, s, sheet)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	require.NoError(t, s.WaitServing(ctx, 1))
+	s := startPlan(t, plan, sheet, 1)
 	var group sync.WaitGroup
 	for n := range 9 {
 		group.Go(func() {
@@ -51,17 +41,8 @@
 	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric, plan.DaemonsPerDomain = domains[:1], 1, 4, 3
 	plan.Engine.WarmthLag, plan.Engine.ColdGrace, plan.Engine.WarmAfter = 3*time.Second, 750*time.Millisecond, 20
 	plan.Engine.ColdFactor = 5
-	s, err := demo.Start(plan)
-	require.NoError(t, err)
-	t.Cleanup(func() {
-		require.NoError(t, s.Stop())
-		require.Zero(t, s.Violations())
-	})
 	sheet := demo.Sheet(plan.FailureDomains)[:1]
-	publish(t, s, sheet)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	require.NoError(t, s.WaitServing(ctx, 2))
+	s := startPlan(t, plan, sheet, 2)
 	warm(t, s)
 	var group sync.WaitGroup
 	reports := make([]load.Report, 9)
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -31,6 +31,12 @@
 	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric = domains, 1, 7
 	plan.Adjust = adjust
 	plan.Engine.Load = 100 * time.Millisecond
+	return startPlan(t, plan, demo.Sheet(domains), 9)
+}
+
+// startPlan starts the system of plan, publishes sheet and waits until replicas serve.
+func startPlan(t *testing.T, plan demo.Plan, sheet []fleet.Deployment, replicas int) *demo.System {
+	t.Helper()
 	var (
 		s   *demo.System
 		err error
@@ -42,10 +48,10 @@
 		require.NoError(t, s.Stop())
 		require.Zero(t, s.Violations(), "violations counted by the daemons")
 	})
-	publish(t, s, demo.Sheet(domains))
+	publish(t, s, sheet)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	require.NoError(t, s.WaitServing(ctx, 9))
+	require.NoError(t, s.WaitServing(ctx, replicas))
 	return s
 }
 
--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,15 +18,9 @@
 	plan := demo.DefaultPlan()
 	plan.FailureDomains, plan.FabricsPerDomain, plan.EnginesPerFabric = domains[:1], 1, 2
 	plan.Tracer = sdk.NewTracerProvider(sdk.WithSpanProcessor(recorder)).Tracer("test")
-	s, err := demo.Start(plan)
-	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, s.Stop()) })
 	sheet := demo.Sheet(plan.FailureDomains)[:1]
 	sheet[0].Replicas = 1
-	publish(t, s, sheet)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	require.NoError(t, s.WaitServing(ctx, 1))
+	s := startPlan(t, plan, sheet, 1)
 	body := `{"model":"decoration","messages":[{"role":"user","content":"a prompt that no log may hold"}]}`
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Daemons[0].Settings.Listen.Callers+"/v1/chat/completions", strings.NewReader(body))
 	require.NoError(t, err)
