fix: an engine without models ends no leader

Cause: before callers come servers that are left over are given models in turn, of a list that may be empty: the process ended with a division by zero, and so would each leader after it, for as long as the configuration stands. Ruled out: to refuse the configuration (whoever accepts it must take it everywhere). Nothing is ordered without models; replicas that serve stay as they are. Test: formation.TestEngineWithoutModels, failing before (a panic). Nothing else changes for engines with models.

--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -159,6 +159,10 @@
 // Step returns the orders to give at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
 	p.steppedAt = now
+	if len(f.Engine.Models) == 0 {
+		// Without models nothing tells how large replicas are.
+		return nil
+	}
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), have: make(map[string]int)}
 	s.collect()
 	s.tend()
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -374,6 +374,25 @@
 	require.NotEmpty(t, b.open())
 }
 
+// TestEngineWithoutModels takes the models of an engine out of the configuration, before
+// replicas are formed and while they serve.
+func TestEngineWithoutModels(t *testing.T) {
+	none := *engine
+	none.Models = nil
+	b := newBench(t, 1, 5)
+	b.fleet.Engine = &none
+	b.run(8 * time.Second)
+	require.Empty(t, b.given)
+	b.fleet.Engine = engine
+	b.run(8 * time.Second)
+	b.fleet.Traffic, b.fleet.Engine = true, &none
+	_, others := b.head("large")
+	b.lose(others[0])
+	given := len(b.given)
+	b.run(8 * time.Second)
+	require.Len(t, b.given, given, "nothing is known of what the replicas need")
+}
+
 // TestOvertaken tells the refusal of a server that has had orders of a later leader from
 // that of one that has had a later order to join of the same planner.
 func TestOvertaken(t *testing.T) {
