--- /dev/null
+++ b/coordination/formation/head_test.go
@@ -0,0 +1,80 @@
+package formation_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// TestHeadOutOfReach keeps the servers of a replica free of others until its head,
+// which may still serve, must have broken.
+func TestHeadOutOfReach(t *testing.T) {
+	loseHead(t, func(b *bench, head string) {
+		b.dark[head] = true
+		delete(b.fleet.Servers, head)
+		b.cut[head] = true
+	}, func(b *bench, head string) {
+		b.actual[head] = site.Server{ID: head}
+		b.run(10 * time.Second)
+	})
+}
+
+// TestHeadCutOff is seed 10 of the soak: a head that no daemon reaches is still listed,
+// so that it lives and may serve, until it is not listed any more.
+func TestHeadCutOff(t *testing.T) {
+	loseHead(t, func(b *bench, head string) {
+		b.dark[head], b.fleet.Dead[head] = true, true
+	}, func(b *bench, head string) {
+		delete(b.fleet.Servers, head)
+		delete(b.actual, head)
+		b.run(5 * time.Second)
+	})
+}
+
+// loseHead takes the head of the only replica out of reach by away, beside a server to
+// spare that holds either model, and ends it by over. The others join nothing before,
+// and serve again after that.
+func loseHead(t *testing.T, away, over func(b *bench, head string)) {
+	t.Helper()
+	for _, spare := range []string{"small", "large"} {
+		t.Run("spare_holds_"+spare, func(t *testing.T) {
+			b := newBench(t, 1, 5)
+			b.run(8 * time.Second)
+			b.hold(spare)
+			b.fleet.Traffic = true
+			head, others := b.head("large")
+			away(b, head)
+			before := len(b.given)
+			b.run(b.fleet.Stall)
+			for _, o := range b.given[before:] {
+				require.False(t, o.Action == formation.Join && slices.Contains(others, o.Server), "%s joins while its head may be open", o.Server)
+			}
+			over(b, head)
+			require.NotEmpty(t, b.open(), "the others serve again")
+		})
+	}
+}
+
+// TestHeadThatIsOpening is day hunt-6d01-7 of the grown observatory: a leader opens a replica
+// whose member it does not know to be dead yet. The head declines to close while it forms the
+// replica, and opens after that.
+func TestHeadThatIsOpening(t *testing.T) {
+	b := newBench(t, 1, 5)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	head, others := b.head("large")
+	s := b.actual[head]
+	s.Member.State = site.Ready
+	b.actual[head], b.fleet.Servers[head] = s, s
+	b.form = 300 * time.Millisecond
+	b.planner = formation.New(2, b.now)
+	b.run(200 * time.Millisecond)
+	b.dark[others[0]], b.fleet.Dead[others[0]] = true, true
+	b.run(8 * time.Second)
+	require.NotEmpty(t, b.open())
+}
