refactor: formation derives who is on the way, asks in one place which model is needed, names what is repeated soon

promised held what serving holds already for members of a lost replica; whether a model is needed most or nearly was asked in two places (needed); weights looked a model up by hand (Engine.Model); succeeded was pruned in succeed and not with the rest, in forget. sentOrder.unanswered also meant answers that show nothing (soon), and two meanings of again stood in one function (rejoins). Ruled out: dropping succeeded, which would order a second successor.

--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -25,6 +25,7 @@
 		_, exists := s.replicas[name]
 		return !exists && s.now-r.at >= forgetAfter
 	})
+	maps.DeleteFunc(p.succeeded, func(name string, _ bool) bool { return s.replicas[name] == nil })
 	s.forgetLosses()
 }
 
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -51,6 +51,9 @@
 	return s.demand(m) / (float64(s.have[m.Name]) + 0.5)
 }
 
+// needed returns whether m is the model that is needed most, or nearly.
+func (s *step) needed(m site.Model) bool { return s.need(m) >= worthChanging*s.need(s.needs()[0]) }
+
 // demand returns the work that there is for replicas of m.
 func (s *step) demand(m site.Model) float64 {
 	asked := 0.0
@@ -90,7 +93,7 @@
 	models := s.needs()
 	for _, m := range models {
 		top := models[0]
-		if s.need(m) >= worthChanging*s.need(top) {
+		if s.needed(m) {
 			// Changing servers over to m is worth what it costs.
 			top = m
 		}
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -67,9 +67,9 @@
 	return h.server.Member.State == site.Ready && h.openedAt > 0 && now-h.openedAt < openTime
 }
 
-// answered takes the answer to an order to h. again means that it may join its replica
+// answered takes the answer to an order to h. Rejoins means that it may join its replica
 // again by an order that is carried out late.
-func (h *head) answered(now time.Duration, action Action, a Answer, again bool) {
+func (h *head) answered(now time.Duration, action Action, a Answer, rejoins bool) {
 	h.absent = h.absent || a == Absent
 	switch action {
 	case Open:
@@ -81,14 +81,14 @@
 		}
 	case Preempt:
 		// A head that declines is not open.
-		if (a == Accepted || a == Declined) && !h.opening(now) {
+		if a == Accepted || a == Declined {
 			h.closedAt = now
 		}
 	case Leave:
 		if a == Accepted {
 			h.closedAt = now
 		}
-		if a == Accepted && !again {
+		if a == Accepted && !rejoins {
 			// An order to open does not fit it any more.
 			h.unansweredAt = 0
 		}
--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -128,10 +128,8 @@
 		if out[server.FabricDomain] == nil {
 			out[server.FabricDomain] = make(map[string]int)
 		}
-		for _, m := range s.fleet.Engine.Models {
-			if m.Name == runs[id] {
-				out[server.FabricDomain][m.Name] += m.Size
-			}
+		if m, ok := s.fleet.Engine.Model(runs[id]); ok {
+			out[server.FabricDomain][m.Name] += m.Size
 		}
 	}
 	return out
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -69,11 +69,11 @@
 	grewAt time.Duration
 }
 
-// A sentOrder is when an order was last given or answered, and whether it stayed
-// without an answer then.
+// A sentOrder is when an order was last given or answered. Soon means that it is given
+// again soon, as it had no answer then or one that shows nothing.
 type sentOrder struct {
-	at         time.Duration
-	unanswered bool
+	at   time.Duration
+	soon bool
 }
 
 // A lateJoin is an order to join that was given at a time and not answered.
@@ -110,13 +110,16 @@
 
 // Answered takes the answer to an order that Step returned.
 func (p *Planner) Answered(now time.Duration, o Order, a Answer) {
-	again := a == Unknown && o.Action != Stage
+	soon := a == Unknown && o.Action != Stage
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
-		again = again || o.Action == Preempt && h.opening(now)
-		late := p.late[o.Server]
-		h.answered(now, o.Action, a, late.group == o.Group && late.possible(now))
+		opening := o.Action == Preempt && h.opening(now)
+		if !opening || a == Absent {
+			late := p.late[o.Server]
+			h.answered(now, o.Action, a, late.group == o.Group && late.possible(now))
+		}
+		soon = soon || opening
 	}
-	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, unanswered: again}
+	p.sent[sentKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, soon: soon}
 	if o.Action == Join {
 		p.joinAnswered(now, o, a)
 	}
@@ -187,12 +190,11 @@
 	busy     map[string]bool
 	// serving are the members of replicas that are whole or on their way.
 	serving map[string]bool
-	// kept are replicas that are lost and whose head may still serve, promised the members
-	// of those that are being formed.
-	kept, promised map[string]bool
-	idle           map[string][]site.Server
-	have           map[string]int
-	orders         []Order
+	// kept are replicas that are lost and whose head may still serve.
+	kept   map[string]bool
+	idle   map[string][]site.Server
+	have   map[string]int
+	orders []Order
 }
 
 // order adds o unless it was given lately, and returns whether it did.
@@ -200,7 +202,7 @@
 	key := sentKey(o.Server, o.Action, o.Group)
 	wait := repeatAfter
 	last, ok := s.planner.sent[key]
-	if _, listed := s.fleet.Servers[o.Server]; last.unanswered && listed && !s.fleet.Dead[o.Server] {
+	if _, listed := s.fleet.Servers[o.Server]; last.soon && listed && !s.fleet.Dead[o.Server] {
 		wait = repeatUnanswered
 	}
 	if ok && s.now-last.at < wait {
--- a/coordination/formation/succeed.go
+++ b/coordination/formation/succeed.go
@@ -12,13 +12,12 @@
 // which join once they are free. A free server is the head, so that nothing has to wait
 // for the head of a successor that does not come about.
 func (s *step) succeed() {
-	maps.DeleteFunc(s.planner.succeeded, func(name string, _ bool) bool { return s.replicas[name] == nil })
 	if !s.fleet.Traffic {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.kept)) {
 		r := s.replicas[name]
-		if s.planner.succeeded[name] || s.need(r.model) < worthChanging*s.need(s.needs()[0]) {
+		if s.planner.succeeded[name] || !s.needed(r.model) {
 			continue
 		}
 		if members := s.successors(r); members != nil {
@@ -35,7 +34,8 @@
 	for _, rank := range slices.Sorted(maps.Keys(r.members)) {
 		server := r.members[rank]
 		_, held := s.planner.held[server.ID]
-		if !held && !s.promised[server.ID] && s.assignable(server) && !s.out(server) && !s.mayOpenAgain(server) {
+		// A member of a lost replica that is to serve is on its way to another one.
+		if !held && !s.serving[server.ID] && s.assignable(server) && !s.out(server) && !s.mayOpenAgain(server) {
 			stay = append(stay, server)
 		}
 	}
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -44,7 +44,7 @@
 // collect puts the servers into their replicas.
 func (s *step) collect() {
 	s.replicas, s.busy, s.serving = make(map[string]*replica), make(map[string]bool), make(map[string]bool)
-	s.kept, s.promised = make(map[string]bool), make(map[string]bool)
+	s.kept = make(map[string]bool)
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
 		server := s.fleet.Servers[id]
 		m := server.Member
@@ -188,7 +188,7 @@
 	}
 	s.have[f.model]++
 	for _, id := range f.members {
-		s.busy[id], s.serving[id], s.promised[id] = true, true, true
+		s.busy[id], s.serving[id] = true, true
 		server := s.fleet.Servers[id]
 		if server.Member.Epoch != f.epoch && s.mayJoin(server, name) {
 			s.orderJoin(server, name, f)
