refactor: seeds and numbers of random histories are set in one place

Four packages had the same TestMain with other numbers; histories.Fix has it. Same seeds and numbers as before; histories.TestFix draws as many as asked for, twice the same.

--- a/coordination/budget/budget_test.go
+++ b/coordination/budget/budget_test.go
@@ -1,7 +1,6 @@
 package budget_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -10,16 +9,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornrock/hawthornrock/coordination/budget"
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 )
 
-// TestMain lets rapid draw the same histories in each run. Flags of rapid given to
-// go test draw others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	histories.Fix(1, 500)
 	m.Run()
 }
 
--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -1,7 +1,6 @@
 package formation_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -11,17 +10,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
-// TestMain lets rapid draw the same histories in each run. Flags of rapid given to
-// go test draw others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "3", "rapid.checks": "500"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	histories.Fix(3, 500)
 	m.Run()
 }
 
--- /dev/null
+++ b/coordination/histories/fix_test.go
@@ -0,0 +1,26 @@
+package histories_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
+)
+
+func TestMain(m *testing.M) {
+	histories.Fix(1, 7)
+	m.Run()
+}
+
+// TestFix draws numbers of as many histories as were asked for, the same in each run.
+func TestFix(t *testing.T) {
+	var drawn []int
+	rapid.Check(t, func(t *rapid.T) { drawn = append(drawn, rapid.IntRange(0, 1000).Draw(t, "number")) })
+	require.Len(t, drawn, 7)
+	again := drawn
+	drawn = nil
+	rapid.Check(t, func(t *rapid.T) { drawn = append(drawn, rapid.IntRange(0, 1000).Draw(t, "number")) })
+	require.Equal(t, again, drawn)
+}
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,17 +11,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 )
 
-// TestMain lets rapid draw the same histories in each run. Flags of rapid given to
-// go test draw others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	histories.Fix(1, 500)
 	m.Run()
 }
 
--- a/coordination/tenure/tenure_test.go
+++ b/coordination/tenure/tenure_test.go
@@ -1,7 +1,6 @@
 package tenure_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,17 +8,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 	"github.com/hawthornrock/hawthornrock/coordination/tenure"
 )
 
-// TestMain lets rapid draw the same histories in each run. Flags of rapid given to
-// go test draw others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	histories.Fix(1, 2000)
 	m.Run()
 }
 
