refactor: the bench of formation has one way for a head to be done later

Heads that finish their work and heads that form their replica were kept in two maps of two kinds, each with its own loop. due holds both, by membership, and its state tells which.

--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -45,14 +45,12 @@
 	unanswered func(formation.Order) bool
 	// timed lets servers take the times of the engine to join; else all take 0.2 s.
 	timed bool
-	// work is how long heads take to finish their work when they close.
-	work    time.Duration
-	closing map[string]time.Duration
-	// form is how long heads that are ordered to open take to do so; opening is when.
-	form    time.Duration
-	opening map[site.Membership]time.Duration
-	later   map[time.Duration][]formation.Order
-	joined  map[string]time.Duration
+	// work is how long heads take to finish their work when they close, and form how long
+	// they take to open; due is when one that does either is done.
+	work, form time.Duration
+	due        map[site.Membership]time.Duration
+	later      map[time.Duration][]formation.Order
+	joined     map[string]time.Duration
 	// left is the replica that each server has left last.
 	left map[string]string
 	// missing is since when the head of each replica has been without a member.
@@ -67,7 +65,7 @@
 func newBench(t *testing.T, domains, size int) *bench {
 	b := &bench{
 		t: t, planner: formation.New(1, 0), actual: make(map[string]site.Server), members: make(map[string][]string),
-		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration), left: make(map[string]string), missing: make(map[string]time.Duration), seen: make(map[string]int64), closing: make(map[string]time.Duration), opening: make(map[site.Membership]time.Duration), later: make(map[time.Duration][]formation.Order),
+		cut: make(map[string]bool), dark: make(map[string]bool), joined: make(map[string]time.Duration), left: make(map[string]string), missing: make(map[string]time.Duration), seen: make(map[string]int64), due: make(map[site.Membership]time.Duration), later: make(map[time.Duration][]formation.Order),
 		wasReady: make(map[string]map[string]bool),
 		fleet: formation.Fleet{
 			Engine: engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), Out: make(map[string]bool),
@@ -150,17 +148,17 @@
 // formed their replica.
 func (b *bench) finish() {
 	for id, s := range b.actual {
-		if at, ok := b.opening[s.Member]; ok && b.now >= at {
-			delete(b.opening, s.Member)
-			s.Member.State = site.Open
-			b.actual[id] = s
+		at, ok := b.due[s.Member]
+		if !ok || b.now < at {
+			continue
 		}
-	}
-	for id, at := range b.closing {
-		if s, ok := b.actual[id]; ok && b.now >= at && s.Member.State == site.Closing {
+		delete(b.due, s.Member)
+		if s.Member.State == site.Closing {
 			s.Member.State = site.Ready
-			b.actual[id] = s
+		} else {
+			s.Member.State = site.Open
 		}
+		b.actual[id] = s
 	}
 }
 
@@ -228,7 +226,7 @@
 		}
 		b.checkOpen(o)
 		if b.form > 0 {
-			b.opening[s.Member] = b.now + b.form
+			b.due[s.Member] = b.now + b.form
 			return formation.Accepted
 		}
 		s.Member.State = site.Open
@@ -239,7 +237,7 @@
 		s.Member.State = site.Ready
 		if o.Action == formation.Close && b.work > 0 {
 			s.Member.State = site.Closing
-			b.closing[s.ID] = b.now + b.work
+			b.due[s.Member] = b.now + b.work
 		}
 	case formation.Leave:
 		b.left[s.ID] = s.Member.Group
