fix: a new leader does not take for closed or free what the one before may have opened

A head of an earlier term that the list shows so counts as opened when the term began, so that it is asked to close and its answer counts; and nothing is formed in the first second of a term. Ruled out: late orders to open (fenced), heads shown broken, an open that is declined taken for closed (2 of 2,016 in the logs, both rightly). One test (TestOpenedHeadThatTheListShowsReady) begins a second into its term now; its checks are as they were.

--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -11,7 +11,8 @@
 )
 
 // settled returns whether replicas may be formed. Before callers come the list of
-// servers fills up within a few seconds; what is formed of a part of it fits badly.
+// servers fills up within a few seconds; what is formed of a part of it fits badly. Later
+// the list must show what the leader before has ordered.
 func (s *step) settled() bool {
 	p := s.planner
 	if n := len(s.fleet.Servers); n != p.known {
@@ -20,7 +21,10 @@
 		}
 		p.known = n
 	}
-	return s.fleet.Traffic || s.now-p.grewAt >= settleTime || s.now-p.since >= longestSettle
+	if s.fleet.Traffic {
+		return s.now-p.since >= catchUpTime
+	}
+	return s.now-p.grewAt >= settleTime || s.now-p.since >= longestSettle
 }
 
 const (
@@ -28,6 +32,8 @@
 	settleTime = 1500 * time.Millisecond
 	// longestSettle bounds the wait, so that replicas are formed before callers come.
 	longestSettle = 4 * time.Second
+	// catchUpTime is the lag of the list by the platform's pages, 0.8 s, and a read of it.
+	catchUpTime = time.Second
 )
 
 // gather lists the servers that are free, by their fabric domain.
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -26,7 +26,8 @@
 	unlisted bool
 	// absent means that nothing is at its address any more.
 	absent bool
-	// openedAt is when it was last ordered to open, unansweredAt when such an order
+	// openedAt is when it was last ordered to open, for all that is known: the leader
+	// before may have done so until the term began. unansweredAt is when such an order
 	// last got no answer, and closedAt when it was last known to have stopped.
 	openedAt     time.Duration
 	unansweredAt time.Duration
@@ -54,9 +55,12 @@
 	if listed == site.Open || listed == site.Closing {
 		return !stopped || now-h.closedAt < closeTime
 	}
-	return listed == site.Ready && h.openedAt > 0 && !stopped
+	return notYetOpen(listed) && h.openedAt > 0 && !stopped
 }
 
+// notYetOpen returns whether a head that the list shows like this may have opened since.
+func notYetOpen(listed site.MemberState) bool { return listed == site.Joining || listed == site.Ready }
+
 // openMargin is added to the time in which a head forms its replica until the list shows it
 // open: the way of the order, and the lag of the list.
 const openMargin = 900 * time.Millisecond
@@ -64,7 +68,7 @@
 // opening returns whether h may be forming its replica, which takes the time form: what it
 // says of an order to close does not hold for the time after that.
 func (h *head) opening(now, form time.Duration) bool {
-	return h.server.Member.State == site.Ready && h.openedAt > 0 && now-h.openedAt < form+openMargin
+	return notYetOpen(h.server.Member.State) && h.openedAt > 0 && now-h.openedAt < form+openMargin
 }
 
 // answered takes the answer to an order to h. Rejoins means that it may join its replica
@@ -119,7 +123,11 @@
 	h := s.head(group)
 	was, is := h.server.Member.State, server.Member.State
 	switch {
-	case !known || was == is:
+	case !known:
+		if notYetOpen(is) && server.Member.Epoch < s.planner.term*epochsPerTerm {
+			h.openedAt = s.planner.since
+		}
+	case was == is:
 	case was == site.Open || was == site.Closing:
 		if is <= site.Ready {
 			// The list has moved on from open, so that this is news of a close.
--- a/coordination/formation/head_test.go
+++ b/coordination/formation/head_test.go
@@ -60,6 +60,50 @@
 	}
 }
 
+// TestHeadOpenedByTheLeaderBefore is trouble-2 of ovt-enrutado, seed 401618266707: the leader
+// before has opened a replica, and the list of the one that follows does not show it for
+// longer than it lags, as the store is slow.
+func TestHeadOpenedByTheLeaderBefore(t *testing.T) {
+	for name, shown := range map[string]site.MemberState{"shown_ready": site.Ready, "shown_joining": site.Joining} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1, 5)
+			b.run(8 * time.Second)
+			b.fleet.Traffic = true
+			head, others := b.head("large")
+			late := b.actual[head]
+			late.Member.State = shown
+			b.fleet.Servers[head], b.cut[head] = late, true
+			b.dark[others[0]], b.fleet.Dead[others[0]] = true, true
+			b.planner = formation.New(2, b.now)
+			b.run(1600 * time.Millisecond)
+			delete(b.cut, head)
+			b.run(8 * time.Second)
+			require.NotEmpty(t, b.open())
+		})
+	}
+}
+
+// TestReplicaFormedByTheLeaderBefore is the same for its members: the list shows them free.
+func TestReplicaFormedByTheLeaderBefore(t *testing.T) {
+	b := newBench(t, 1, 4)
+	b.run(8 * time.Second)
+	b.fleet.Traffic = true
+	for id, s := range b.actual {
+		b.cut[id] = true
+		s.Member, s.Staged = site.Membership{}, []string{"small"}
+		b.fleet.Servers[id] = s
+	}
+	given := len(b.given)
+	b.planner = formation.New(2, b.now)
+	b.run(800 * time.Millisecond)
+	b.cut = make(map[string]bool)
+	b.run(5 * time.Second)
+	require.NotEmpty(t, b.open())
+	for _, o := range b.given[given:] {
+		require.NotEqual(t, formation.Join, o.Action)
+	}
+}
+
 // TestHeadThatIsOpening follows the times of day hunt-6d01-7 of the grown observatory, whose
 // cause is not traced: a leader opens a replica whose member it does not know to be dead
 // yet. The head declines to close while it forms the replica, and opens after that.
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -71,6 +71,8 @@
 // the list stands still for was opened, then lost a member.
 func TestOpenedHeadThatTheListShowsReady(t *testing.T) {
 	b := newBench(t, 1, 3)
+	// The term began a second ago, so that the list has caught up.
+	b.planner = formation.New(1, -time.Second)
 	b.cut["s0-0"] = true
 	b.fleet.Traffic = true
 	for id, s := range b.actual {
