feat: what servers say of themselves in their answers is kept to

Cause: nothing read Server-Leaving, nor the Retry-After of a server that turns a request away; both break a rule (nothing new after drain_ms; two requests within the rest at most). coordination/notice keeps both, pure; the adapter decodes them once; a server that leaves is marked in the list of servers at once, told to the other daemons in the messages that exist, and forgotten only for a new life. What fits nowhere but at servers that rest is refused at once, with the time after which the first takes requests again. A head that asked for a rest is not held for broken for five seconds besides. Ruled out: a 421 says nothing, as another server may have the address. Before: each of the contract tests fails (a server that says it leaves went on being used). After: TestServerSaysThatItLeaves, TestServerThatWantsARest, TestNewLifeOfAServerThatLeft, TestDecodeNotice pass.

--- /dev/null
+++ b/coordination/notice/notice_test.go
@@ -0,0 +1,79 @@
+package notice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
+	"github.com/hawthornrock/hawthornrock/coordination/notice"
+)
+
+func TestMain(m *testing.M) {
+	histories.Fix(1, 500)
+	m.Run()
+}
+
+func ExampleRegister() {
+	var r notice.Register
+	life := notice.Life{Server: "i-7f3a", Born: 1700}
+	r.Take(time.Second, life, notice.Notice{Leaving: true, Rest: 2 * time.Second})
+	fmt.Println(r.Leaving(life), r.Leaving(notice.Life{Server: "i-7f3a", Born: 1900}))
+	fmt.Println(r.Rest(2*time.Second, "i-7f3a"), r.Rest(4*time.Second, "i-7f3a"))
+	// Output:
+	// true false
+	// 1s 0s
+}
+
+func TestRest(t *testing.T) {
+	life := notice.Life{Server: "s"}
+	for _, tc := range []struct {
+		name  string
+		rests []time.Duration
+		want  time.Duration
+	}{
+		{"none", nil, 0},
+		{"one", []time.Duration{time.Second}, time.Second},
+		{"a_shorter_one_after_a_longer", []time.Duration{3 * time.Second, time.Second}, 3 * time.Second},
+		{"absurd", []time.Duration{24 * time.Hour}, notice.MaxRest},
+		{"negative", []time.Duration{-time.Second}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var r notice.Register
+			for _, rest := range tc.rests {
+				r.Take(0, life, notice.Notice{Rest: rest})
+			}
+			require.Equal(t, tc.want, r.Rest(0, "s"))
+			require.Zero(t, r.Rest(notice.MaxRest, "s"))
+		})
+	}
+}
+
+// TestLeavingSpreads is the pattern of a server that leaves while the store is away: one
+// daemon has it from an answer, the others from each other, in any order and with losses.
+func TestLeavingSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		life := notice.Life{Server: "s", Born: 1}
+		daemons := make([]notice.Register, 4)
+		require.True(t, daemons[0].Take(0, life, notice.Notice{Leaving: true}))
+		require.False(t, daemons[0].Take(0, life, notice.Notice{Leaving: true}), "it is no news twice")
+		now := time.Duration(0)
+		for range rapid.IntRange(0, 30).Draw(t, "messages") {
+			now += 150 * time.Millisecond
+			from, to := rapid.IntRange(0, 3).Draw(t, "from"), rapid.IntRange(0, 3).Draw(t, "to")
+			told := daemons[from].Told(now)
+			knew := daemons[to].Leaving(life)
+			require.Equal(t, len(told) > 0 && !knew, len(daemons[to].Hear(now, told)) > 0)
+			require.Equal(t, knew || len(told) > 0, daemons[to].Leaving(life))
+			daemons[to].Forget(now, func(notice.Life) bool { return false })
+		}
+		require.Empty(t, daemons[0].Told(now+time.Minute), "it is told for a while only")
+		daemons[0].Forget(now+time.Hour, func(notice.Life) bool { return true })
+		require.True(t, daemons[0].Leaving(life), "a listed one stays known")
+		daemons[0].Forget(now+time.Hour, func(notice.Life) bool { return false })
+		require.False(t, daemons[0].Leaving(life))
+	})
+}
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/budget"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -100,7 +101,8 @@
 	others   relay.Sum
 	othersAt time.Time
 	// asked is the work that callers asked of each model, in seconds of a replica.
-	asked map[string]*budget.Window
+	asked   map[string]*budget.Window
+	notices notice.Register
 }
 
 // seat returns the seat of target. The caller holds the lock.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -90,6 +90,8 @@
 		c.takeAlive(now, m)
 	case heard:
 		c.takeHeard(now, m)
+	case serversLeave:
+		c.takeLeaving(m)
 	case beaten:
 		c.leadership.candidate.Renewed(now, m.sentAt, m.term)
 	case orderDone:
@@ -114,6 +116,7 @@
 	if ready := c.canServe(); ready != c.gateway.view.Load().Ready {
 		c.dirty = true
 	}
+	c.gateway.board.forgetNotices(now, c.lists)
 	c.elect(now)
 	c.lead(now)
 }
@@ -234,6 +237,7 @@
 			c.takeBroken(now, r, err)
 			continue
 		}
+		s.Draining = s.Draining || c.gateway.board.leaves(s)
 		c.dirty = c.servers.put(now, r.Offset, s, c.coldFor(s)) || c.dirty
 	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -95,7 +95,7 @@
 		}
 		return nil, lost, err
 	}
-	return g.judge(c, resp)
+	return g.judge(c, server, resp)
 }
 
 // errForeign means that an answer is not the one to the request that was sent.
@@ -107,9 +107,10 @@
 // errNotRun means that the server proved not to have run the request.
 var errNotRun = errors.New("server did not run the request")
 
-// judge finds out what an answer proves.
-func (g *Gateway) judge(c *call, resp *http.Response) (*http.Response, sign, error) {
+// judge finds out what an answer of server proves.
+func (g *Gateway) judge(c *call, server site.Server, resp *http.Response) (*http.Response, sign, error) {
 	a := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+	g.takeNotice(c, server, a.Notice)
 	switch {
 	case a.Attempt != "" && a.Attempt != c.request.Attempt:
 		discard(resp)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -76,6 +76,14 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, after: returnSoon + rand.N(returnSpread)}
 }
 
+// resting returns the refusal of a request that only servers could run which want none for
+// a while: the first of them takes requests again after the given time.
+func resting(after time.Duration) *refusal {
+	r := notServed("servers_rest")
+	r.after = max(after, returnSoon) + rand.N(returnSpread)
+	return r
+}
+
 // confirmedLately returns whether what operators ask for was read so lately that
 // no key can have been withdrawn for longer than allowed.
 func (g *Gateway) confirmedLately() bool {
--- /dev/null
+++ b/gateway/notice.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/notice"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
+)
+
+// A serversLeave names servers that said in answers that they leave.
+type serversLeave struct{ lives []notice.Life }
+
+// lifeOf returns the life of s.
+func lifeOf(s site.Server) notice.Life { return notice.Life{Server: s.ID, Born: s.Born} }
+
+// takeNotice takes what server said of itself in the answer to c.
+func (g *Gateway) takeNotice(c *call, server site.Server, n notice.Notice) {
+	if n == (notice.Notice{}) {
+		return
+	}
+	life := lifeOf(server)
+	g.board.mu.Lock()
+	news := g.board.notices.Take(clock.Boot(), life, n)
+	g.board.mu.Unlock()
+	if n.Rest > 0 {
+		g.metrics.events.Add("servers_rest", 1)
+		g.logger.Info().Str("event", "server_rests").Str("request", c.request.Attempt).Str("server", server.ID).Dur("rest", n.Rest).
+			Msg("server wants no requests for a while")
+	}
+	if news {
+		g.logger.Info().Str("event", "server_leaving").Str("request", c.request.Attempt).Str("server", server.ID).Int64("born", server.Born).
+			Msg("server says in an answer that it leaves")
+		g.tell(serversLeave{lives: []notice.Life{life}})
+	}
+}
+
+// hearLeaving takes which servers leave from a message of another daemon.
+func (g *Gateway) hearLeaving(m message) {
+	if len(m.Leaving) == 0 {
+		return
+	}
+	g.board.mu.Lock()
+	news := g.board.notices.Hear(clock.Boot(), m.Leaving)
+	g.board.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, l := range news {
+		g.logger.Info().Str("event", "server_leaving").Str("server", l.Server).Int64("born", l.Born).Str("from", m.From).
+			Msg("another daemon says that a server leaves")
+	}
+	g.tell(serversLeave{lives: news})
+}
+
+// takesWork returns whether s may get new work for all that it said itself. If it wants
+// none for a while, rest is lowered to that time. The caller holds the lock.
+func (b *board) takesWork(s site.Server, rest *time.Duration) bool {
+	if b.notices.Leaving(lifeOf(s)) {
+		return false
+	}
+	left := b.notices.Rest(clock.Boot(), s.ID)
+	if left > 0 && (*rest == 0 || left < *rest) {
+		*rest = left
+	}
+	return left == 0
+}
+
+// rests returns whether s wants no requests for a while. It lives then, and has said when it
+// takes them again.
+func (b *board) rests(s site.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notices.Rest(clock.Boot(), s.ID) > 0
+}
+
+// leaves returns whether s said that it leaves.
+func (b *board) leaves(s site.Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notices.Leaving(lifeOf(s))
+}
+
+// toldLeaving returns the servers of which other daemons are told that they leave.
+func (b *board) toldLeaving() []notice.Life {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notices.Told(clock.Boot())
+}
+
+// forgetNotices drops notices that cannot matter any more.
+func (b *board) forgetNotices(now time.Duration, listed func(notice.Life) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.notices.Forget(now, listed)
+}
+
+// takeLeaving takes that servers leave which may still be listed as sound.
+func (c *control) takeLeaving(m serversLeave) {
+	for _, l := range m.lives {
+		c.dirty = c.servers.leave(l.Server, l.Born) || c.dirty
+	}
+}
+
+// lists returns whether the list of servers has the given life.
+func (c *control) lists(l notice.Life) bool {
+	e, ok := c.servers.entries[l.Server]
+	return ok && e.server.Born == l.Born
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -62,6 +63,8 @@
 	// Probe asks hubs to look at servers, and Alive names those that answered.
 	Probe []target `cbor:"10,keyasint,omitempty"`
 	Alive []string `cbor:"11,keyasint,omitempty"`
+	// Leaving names servers that said lately that they leave.
+	Leaving []notice.Life `cbor:"12,keyasint,omitempty"`
 }
 
 // A target is a server to look at.
@@ -163,7 +166,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.isHub = slices.Contains(hubs, g.settings.Front); n.isHub {
-		m := message{From: g.incarnation, Sum: g.sumBelow(now), Crashes: g.board.lateCrashes(time.Now())}
+		m := message{From: g.incarnation, Sum: g.sumBelow(now), Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving()}
 		for _, front := range hubs {
 			if h, ok := view.peer(front); ok {
 				g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
@@ -182,7 +185,7 @@
 	if h, ok := view.peer(n.hub); ok {
 		m := message{
 			From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Have: make(map[string]int64), Stamp: now,
-			Sum: g.board.sum(g.incarnation, time.Now()), Crashes: g.board.lateCrashes(time.Now()),
+			Sum: g.board.sum(g.incarnation, time.Now()), Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving(),
 		}
 		for _, topic := range feeds {
 			m.Have[topic] = n.topic(topic).End()
@@ -294,6 +297,7 @@
 func (g *Gateway) takeMessage(m message) {
 	now := clock.Boot()
 	g.board.convicted(m.Crashes)
+	g.hearLeaving(m)
 	if len(m.Alive) > 0 {
 		g.tell(aliveElsewhere{servers: m.Alive})
 	}
@@ -319,7 +323,7 @@
 		return
 	}
 	answer := message{From: g.incarnation, Echo: m.Stamp, News: make(map[string]relay.News), Sum: g.sumExcept(m.From, now)}
-	answer.Crashes = g.board.lateCrashes(time.Now())
+	answer.Crashes, answer.Leaving = g.board.lateCrashes(time.Now()), g.board.toldLeaving()
 	for topic, have := range m.Have {
 		if news, ok := n.newsFor(m.From, topic, have, now); ok {
 			news.ReadAt -= now
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -37,9 +37,9 @@
 		last  *plainAnswer
 	)
 	for {
-		server, ok := g.choosePlain(c, tried)
+		server, ok, rest := g.choosePlain(c, tried)
 		if !ok {
-			g.endPlain(ctx, w, c, last)
+			g.endPlain(ctx, w, c, last, rest)
 			return
 		}
 		tried = append(tried, server.ID)
@@ -59,37 +59,40 @@
 			c.why = err.Error()
 		}
 		if ctx.Err() != nil || !g.mayRepeat(c, s != notRun) {
-			g.endPlain(ctx, w, c, last)
+			g.endPlain(ctx, w, c, last, 0)
 			return
 		}
 	}
 }
 
 // endPlain answers a call that is not sent again: with the server's own failure if
-// there is one.
-func (g *Gateway) endPlain(ctx context.Context, w http.ResponseWriter, c *call, last *plainAnswer) {
+// there is one. rest is when one of those that want no requests takes them again.
+func (g *Gateway) endPlain(ctx context.Context, w http.ResponseWriter, c *call, last *plainAnswer, rest time.Duration) {
 	switch {
 	case last != nil && ctx.Err() == nil:
 		g.passOn(w, c, last)
 	case ctx.Err() != nil:
 		g.refuse(w, c, c.expired())
+	case rest > 0 && c.ran == 0:
+		g.refuse(w, c, resting(rest))
 	default:
 		g.refuse(w, c, c.failed())
 	}
 }
 
 // choosePlain returns the server to which this daemon has given the least work,
-// and among equals one of its own failure domain.
-func (g *Gateway) choosePlain(c *call, tried []string) (site.Server, bool) {
+// and among equals one of its own failure domain. If there is none, the time is returned
+// after which one takes requests again that wants none now, zero if there is none.
+func (g *Gateway) choosePlain(c *call, tried []string) (site.Server, bool, time.Duration) {
 	servers := g.view.Load().Plain[c.service.Name]
 	g.board.mu.Lock()
 	defer g.board.mu.Unlock()
 	now := time.Now()
-	best, found := site.Server{}, false
+	best, found, rest := site.Server{}, false, time.Duration(0)
 	var bestKey [3]int
 	for _, i := range rand.Perm(len(servers)) {
 		s := servers[i]
-		if slices.Contains(tried, s.ID) {
+		if slices.Contains(tried, s.ID) || !g.board.takesWork(s, &rest) {
 			continue
 		}
 		seat := g.board.seat(s.ID)
@@ -98,7 +101,7 @@
 			best, bestKey, found = s, key, true
 		}
 	}
-	return best, found
+	return best, found, rest
 }
 
 // boolean returns 1 for true.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -82,6 +82,18 @@
 	return !known || old.goneAt != 0 || !same(old.server, s) || e.coldUntil != old.coldUntil
 }
 
+// leave notes that a life of a server leaves although the list does not show it yet, and
+// returns whether that is news.
+func (r *roster) leave(id string, born int64) bool {
+	e, ok := r.entries[id]
+	if !ok || e.server.Born != born || e.server.Draining {
+		return false
+	}
+	e.server.Draining = true
+	r.entries[id] = e
+	return true
+}
+
 // same returns whether two entries say the same but for their sequence.
 func same(a, b site.Server) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining && a.Born == b.Born && a.Member == b.Member &&
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,10 +112,11 @@
 		candidates []dispatch.Candidate
 		paces      []dispatch.Pace
 		now        = time.Now()
+		rest       time.Duration
 	)
 	for _, r := range view.Replicas[model.Name] {
 		seat := b.seat(r.Name)
-		if slices.Contains(s.tried, r.Name) || now.Before(seat.suspectUntil) || !g.mayBear(seat, r, view.Daemons, false) {
+		if slices.Contains(s.tried, r.Name) || !b.takesWork(r.Head, &rest) || now.Before(seat.suspectUntil) || !g.mayBear(seat, r, view.Daemons, false) {
 			continue
 		}
 		other := b.elsewhere(r.Epoch, now)
@@ -133,6 +134,9 @@
 		busy := dispatch.Busy(c.service.Engine, model, c.request.Work)
 		b.ask(clock.Boot(), model.Name, time.Duration(dispatch.Pressure(expected, c.route.Target)*float64(busy)))
 	}
+	if i < 0 && rest > 0 {
+		return Replica{}, resting(rest)
+	}
 	if i < 0 {
 		return Replica{}, notServed("no_replica")
 	}
@@ -220,7 +224,7 @@
 		c.ran++
 	}
 	if ended != answered {
-		if !errors.Is(err, errForeign) && !errors.Is(context.Cause(ctx), context.Canceled) {
+		if !errors.Is(err, errForeign) && !errors.Is(context.Cause(ctx), context.Canceled) && !g.board.rests(replica.Head) {
 			g.board.broke(a, time.Now())
 		}
 		if ended == lost && ctx.Err() == nil {
