feat: hubs in each failure domain, three readers, work near its callers, changes of replicas told first-hand

Sums of other failure domains and who lives are told twice a second, not each time. - A daemon that starts takes the list of servers from a hub, and is reached by its former heartbeat. - Only those that may lead read the topic of terms. - Work stays in its failure domain while its first token is early enough there. - Whoever leads asks servers that are to change for their reports, which lag less than the list, and tells of replicas that begin or end to serve. A replica that several daemons gave up is doubted by all, so that hundreds need not each find out. - Two other hubs give a second opinion on a server, not all. Ruled out: more hubs that read (calls grow with daemons); telling all work each time.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -123,45 +123,72 @@
 // chosen: the round trip between two domains and a little for its bytes.
 const farCost = 5 * time.Millisecond
 
+// enoughShare is the part of its target within which a first token is early enough for a
+// request to stay in its failure domain.
+const enoughShare = 0.5
+
+// Enough returns when a first token is early enough for a request to stay in its failure
+// domain, given the target for it.
+func Enough(target time.Duration) time.Duration { return time.Duration(enoughShare * float64(target)) }
+
 // Choose returns the index of the candidate with the earliest first token among a
 // few that pick draws, and that time, -1 if there is none. pick returns a random
 // number below its argument. What is known of the work of others is a few tenths of
 // a second old: if all daemons took the best of all, they would all take the same.
-func Choose(e *site.Engine, m site.Model, candidates []Candidate, work Work, pick func(int) int) (int, time.Duration) {
-	best, least, ties := -1, time.Duration(math.MaxInt64), 0
-	for _, i := range draw(len(candidates), drawn, pick) {
-		c := candidates[i]
-		expected := FirstToken(e, m, c, work)
+// Candidates of other failure domains are drawn only where those of the own one are
+// expected to take longer than enough, as what they answer has a longer way.
+func Choose(e *site.Engine, m site.Model, candidates []Candidate, work Work, enough time.Duration, pick func(int) int) (int, time.Duration) {
+	var near, far []int
+	for i, c := range candidates {
 		if c.Far {
-			expected += farCost
+			far = append(far, i)
+		} else {
+			near = append(near, i)
 		}
-		switch {
-		case best < 0 || expected < least-tie:
-			best, least, ties = i, expected, 1
-		case expected <= least+tie:
-			if ties++; pick(ties) == 0 {
-				best, least = i, expected
-			}
+	}
+	b := best{index: -1, least: time.Duration(math.MaxInt64)}
+	for _, i := range draw(near, pick) {
+		b.consider(i, FirstToken(e, m, candidates[i], work), pick)
+	}
+	if b.index < 0 || b.least > enough {
+		for _, i := range draw(far, pick) {
+			b.consider(i, FirstToken(e, m, candidates[i], work)+farCost, pick)
+		}
+	}
+	return b.index, b.least
+}
+
+// A best is the candidate that is expected first of those that were considered.
+type best struct {
+	index int
+	least time.Duration
+	ties  int
+}
+
+// consider takes candidate i if it is expected earlier, and by chance if at about the same
+// time.
+func (b *best) consider(i int, expected time.Duration, pick func(int) int) {
+	switch {
+	case b.index < 0 || expected < b.least-tie:
+		b.index, b.least, b.ties = i, expected, 1
+	case expected <= b.least+tie:
+		if b.ties++; pick(b.ties) == 0 {
+			b.index, b.least = i, expected
 		}
 	}
-	return best, least
 }
 
 // drawn is the number of candidates that are compared. Two keep the busiest replica
 // close to the mean however old the news are.
 const drawn = 2
 
-// draw returns k of the numbers below n, or all if there are no more.
-func draw(n, k int, pick func(int) int) []int {
-	all := make([]int, n)
-	for i := range all {
-		all[i] = i
-	}
-	for i := range min(k, n) {
-		j := i + pick(n-i)
+// draw returns a few of all, in an order drawn by pick.
+func draw(all []int, pick func(int) int) []int {
+	for i := range min(drawn, len(all)) {
+		j := i + pick(len(all)-i)
 		all[i], all[j] = all[j], all[i]
 	}
-	return all[:min(k, n)]
+	return all[:min(drawn, len(all))]
 }
 
 // tie is the difference of expected times below which daemons choose at random,
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -72,7 +72,7 @@
 		for i := range candidates {
 			candidates[i].Load = dispatch.Load{Writing: seen[i]}
 		}
-		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, random.IntN)
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, 0, random.IntN)
 		loads[i]++
 		worst = max(worst, loads[i])
 	}
@@ -80,7 +80,68 @@
 	require.Less(t, float64(worst), 3*mean, "requests at the busiest replica")
 }
 
+// TestNearFirst is the pattern of the large utility: callers in five failure domains, of
+// which one has lost most of its replicas. Work stays in its own failure domain where that
+// is early enough, and the one that has lost its replicas is helped out by the others.
+func TestNearFirst(t *testing.T) {
+	const domains, lost, enough = 5, 0, 150 * time.Millisecond
+	for _, tc := range []struct {
+		name                string
+		left                int
+		leastNear, mostNear float64
+		longest             time.Duration
+	}{
+		{"all_are_there", 8, 0.99, 1, 200 * time.Millisecond},
+		{"one_of_eight_is_left", 1, 0.02, 0.5, 500 * time.Millisecond},
+		{"none_is_left", 0, 0, 0, 500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
+			var replicas []int
+			for d := range domains {
+				n := 8
+				if d == lost {
+					n = tc.left
+				}
+				for range n {
+					replicas = append(replicas, d)
+				}
+			}
+			var (
+				loads, seen = make([]int, len(replicas)), make([]int, len(replicas))
+				near, all   int
+				longest     time.Duration
+			)
+			for n := range 4000 {
+				if n%60 == 0 {
+					for i := range loads {
+						loads[i] = loads[i] * 6 / 7
+					}
+					copy(seen, loads)
+				}
+				from := n % domains
+				candidates := make([]dispatch.Candidate, len(replicas))
+				for i, d := range replicas {
+					candidates[i] = dispatch.Candidate{Load: dispatch.Load{Writing: seen[i]}, Far: d != from}
+				}
+				i, expected := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, enough, random.IntN)
+				loads[i]++
+				longest = max(longest, expected)
+				if from == lost {
+					if all++; replicas[i] == from {
+						near++
+					}
+				}
+			}
+			share := float64(near) / float64(all)
+			require.GreaterOrEqual(t, share, tc.leastNear)
+			require.LessOrEqual(t, share, tc.mostNear)
+			require.Less(t, longest, tc.longest, "longest expected wait for a first token")
+		})
+	}
+}
+
 func TestChooseWithoutCandidates(t *testing.T) {
-	i, _ := dispatch.Choose(engine, model, nil, dispatch.Work{}, rand.IntN)
+	i, _ := dispatch.Choose(engine, model, nil, dispatch.Work{}, 0, rand.IntN)
 	require.Equal(t, -1, i)
 }
--- a/coordination/dispatch/pace_test.go
+++ b/coordination/dispatch/pace_test.go
@@ -112,7 +112,7 @@
 		for i, slowness := range dispatch.Slownesses(known, start.Add(now)) {
 			candidates[i].Slowness = slowness
 		}
-		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, random.IntN)
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, 0, random.IntN)
 		loads[i]++
 		end := now + slowed(i, time.Second)
 		leave[end] = append(leave[end], i)
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -60,10 +60,13 @@
 	serving map[string][]string
 	lost    map[string]*loss
 	repairs []Repair
+	endings []Ending
 	// highest is the highest epoch of an order to join that each server was given.
 	highest map[string]int64
 	// succeeded are the lost replicas that a successor was ordered of.
 	succeeded map[string]bool
+	// awaited are servers that were ordered something which is not reported yet.
+	awaited []site.Server
 	// steppedAt is the time of the last step.
 	steppedAt time.Duration
 	// known and grewAt tell when the number of servers last grew.
@@ -163,7 +166,7 @@
 
 // Step returns the orders to give at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
-	p.steppedAt = now
+	p.steppedAt, p.awaited = now, nil
 	if len(f.Engine.Models) == 0 {
 		// Without models nothing tells how large replicas are.
 		return nil
@@ -184,6 +187,10 @@
 	return s.orders
 }
 
+// Awaited returns the servers that were ordered to join or open a replica and did not report
+// it in time for the last step. Their own reports are newer than the list.
+func (p *Planner) Awaited() []site.Server { return p.awaited }
+
 // A step is the working state of one call of Step.
 type step struct {
 	planner  *Planner
--- a/coordination/formation/repair.go
+++ b/coordination/formation/repair.go
@@ -42,6 +42,19 @@
 	over    bool
 }
 
+// An Ending is a replica that served and does not any more, as far as is known.
+type Ending struct {
+	Replica string
+	Epoch   int64
+}
+
+// Endings returns the replicas that stopped to serve since the last call.
+func (p *Planner) Endings() []Ending {
+	out := p.endings
+	p.endings = nil
+	return out
+}
+
 // Repairs returns the repairs since the last call.
 func (p *Planner) Repairs() []Repair {
 	out := p.repairs
@@ -78,6 +91,7 @@
 		return
 	}
 	delete(p.serving, r.name)
+	p.endings = append(p.endings, Ending{Replica: r.name, Epoch: r.epoch})
 	l := &loss{replica: r.name, model: r.model.Name, cause: s.cause(members), at: s.now}
 	for _, server := range r.members {
 		if s.usable(server) {
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// await notes that server was ordered something that it does not report yet.
+func (s *step) await(server site.Server) { s.planner.awaited = append(s.planner.awaited, server) }
+
 // whole returns whether r has all its members and every one of them is usable.
 func (s *step) whole(r *replica) bool {
 	if r.model.Size == 0 || len(r.members) != r.model.Size {
@@ -124,6 +127,9 @@
 	for _, server := range r.members {
 		s.busy[server.ID], s.serving[server.ID] = true, true
 		ready = ready && server.Member.State >= site.Ready && !s.fleet.Silent[server.ID]
+		if server.Member.State == site.Joining {
+			s.await(server)
+		}
 	}
 	if s.out(first) {
 		s.have[r.model.Name]--
@@ -134,6 +140,9 @@
 		delete(s.planner.forming, r.name)
 		s.noteServing(r)
 	}
+	if ready && first.Member.State == site.Ready && h.opening(s.now, s.planner.form) {
+		s.await(first)
+	}
 	if s.planner.retired[r.name] != nil || !ready || first.Member.State != site.Ready || s.mayLeave(r) {
 		return
 	}
@@ -190,8 +199,12 @@
 	for _, id := range f.members {
 		s.busy[id], s.serving[id] = true, true
 		server := s.fleet.Servers[id]
-		if server.Member.Epoch != f.epoch && s.mayJoin(server, name) {
+		if server.Member.Epoch == f.epoch {
+			continue
+		}
+		if s.mayJoin(server, name) {
 			s.orderJoin(server, name, f)
+			s.await(server)
 		}
 	}
 }
--- a/coordination/relay/hubs.go
+++ b/coordination/relay/hubs.go
@@ -16,25 +16,45 @@
 	// fewestHubs is the least number of hubs: two may be lost at once, as the
 	// platform's pages ask of small deployments.
 	fewestHubs = 3
-	// perHub is the number of daemons that one more hub is added for: it sends each
-	// a few messages a second.
+	// perHub is the number of daemons of a failure domain that one more hub is added for:
+	// it sends each a few messages a second.
 	perHub = 30
+	// mostReaders bounds the hubs that read the store. The others are told by these, so
+	// that calls to the store do not grow with the number of daemons.
+	mostReaders = 3
 )
 
 // A Member is a daemon that may be a hub. Strength is its share of a processor.
 type Member struct {
-	Name     string
-	Strength float64
+	Name          string
+	FailureDomain string
+	Strength      float64
 }
 
-// Hubs returns the daemons of members that read for all, the strongest ones. They
-// are the same at every daemon that knows the same members.
+// Hubs returns the daemons of members that tell all others what is new: the strongest of
+// each failure domain, so that followers need not ask over its border. They are in the same
+// order at every daemon that knows the same members: the first of each failure domain,
+// then the second ones.
 func Hubs(members []Member) []string {
-	ranked := slices.SortedFunc(slices.Values(members), func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)),
-			cmp.Compare(a.Name, b.Name))
-	})
-	ranked = ranked[:min(len(ranked), max(fewestHubs, (len(members)+perHub-1)/perHub))]
+	ranked := slices.SortedFunc(slices.Values(members), stronger)
+	domains := make(map[string][]Member)
+	for _, m := range ranked {
+		domains[m.FailureDomain] = append(domains[m.FailureDomain], m)
+	}
+	// A hub's place is its rank among the hubs of its failure domain.
+	place := make(map[string]int)
+	for _, inDomain := range domains {
+		for rank, m := range inDomain[:(len(inDomain)+perHub-1)/perHub] {
+			place[m.Name] = rank
+		}
+	}
+	for _, m := range ranked {
+		if _, hub := place[m.Name]; !hub && len(place) < fewestHubs {
+			place[m.Name] = len(ranked)
+		}
+	}
+	ranked = slices.DeleteFunc(ranked, func(m Member) bool { _, hub := place[m.Name]; return !hub })
+	slices.SortStableFunc(ranked, func(a, b Member) int { return cmp.Compare(place[a.Name], place[b.Name]) })
 	hubs := make([]string, 0, len(ranked))
 	for _, m := range ranked {
 		hubs = append(hubs, m.Name)
@@ -42,10 +62,26 @@
 	return hubs
 }
 
-// Order returns hubs in the order in which self turns to them, so that daemons
-// spread over all.
-func Order(self string, hubs []string) []string {
+// stronger orders members by their strength; their names decide among equals.
+func stronger(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)),
+		cmp.Compare(a.Name, b.Name))
+}
+
+// Readers returns those of hubs that read the store, of different failure domains as far as
+// there are any.
+func Readers(hubs []string) []string { return hubs[:min(len(hubs), mostReaders)] }
+
+// Order returns hubs in the order in which self turns to them, so that daemons spread over
+// all: those for which near returns true first.
+func Order(self string, hubs []string, near func(hub string) bool) []string {
 	return slices.SortedFunc(slices.Values(hubs), func(a, b string) int {
+		switch nearA, nearB := near(a), near(b); {
+		case nearA && !nearB:
+			return -1
+		case nearB && !nearA:
+			return 1
+		}
 		return cmp.Compare(rendezvous.Weight(self, b), rendezvous.Weight(self, a))
 	})
 }
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -141,10 +141,50 @@
 	}
 }
 
+// TestHubsOfLargeDeployments is the pattern of the large utility: 295 daemons in five
+// failure domains. None asks over the border of its own, and three read for all.
+func TestHubsOfLargeDeployments(t *testing.T) {
+	var members []relay.Member
+	domain := make(map[string]string)
+	for n := range 295 {
+		m := relay.Member{Name: fmt.Sprint("daemon-", n), FailureDomain: fmt.Sprint("zone-", n%5), Strength: 0.192}
+		if n%20 == 0 {
+			m.Strength = 0.8
+		}
+		members, domain[m.Name] = append(members, m), m.FailureDomain
+	}
+	hubs := relay.Hubs(members)
+	of := make(map[string]int)
+	for _, hub := range hubs {
+		of[domain[hub]]++
+	}
+	require.Equal(t, map[string]int{"zone-0": 2, "zone-1": 2, "zone-2": 2, "zone-3": 2, "zone-4": 2}, of)
+	readers := relay.Readers(hubs)
+	require.Len(t, readers, 3)
+	require.Len(t, map[string]bool{domain[readers[0]]: true, domain[readers[1]]: true, domain[readers[2]]: true}, 3, "a lost failure domain takes one of them")
+	for _, m := range members {
+		order := relay.Order(m.Name, hubs, func(hub string) bool { return domain[hub] == m.FailureDomain })
+		require.Equal(t, m.FailureDomain, domain[order[0]])
+		require.Equal(t, m.FailureDomain, domain[order[1]])
+		require.Len(t, order, len(hubs), "hubs of others are left for when its own are gone")
+	}
+}
+
+// TestHubsOfFewDaemons wants three hubs wherever there are three daemons.
+func TestHubsOfFewDaemons(t *testing.T) {
+	for _, tc := range []struct{ daemons, domains, hubs int }{{1, 1, 1}, {2, 2, 2}, {6, 3, 3}, {9, 1, 3}, {8, 2, 3}, {85, 4, 4}} {
+		var members []relay.Member
+		for n := range tc.daemons {
+			members = append(members, relay.Member{Name: fmt.Sprint(n), FailureDomain: fmt.Sprint(n % tc.domains)})
+		}
+		require.Len(t, relay.Hubs(members), tc.hubs, "%d daemons in %d failure domains", tc.daemons, tc.domains)
+	}
+}
+
 func TestFollowersSpreadOverHubs(t *testing.T) {
 	hubs, first := []string{"h0", "h1", "h2"}, make(map[string]int)
 	for n := range 300 {
-		first[relay.Order(fmt.Sprint("daemon-", n), hubs)[0]]++
+		first[relay.Order(fmt.Sprint("daemon-", n), hubs, func(string) bool { return false })[0]]++
 	}
 	for _, hub := range hubs {
 		require.InDelta(t, 100, first[hub], 35)
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -100,6 +100,10 @@
 	// others is the work of all other daemons, as of othersAt.
 	others   relay.Sum
 	othersAt time.Time
+	// far is their work at replicas of other failure domains, as of farAt, where a hub tells
+	// of it now and then only.
+	far   map[int64]relay.Work
+	farAt time.Time
 	// asked is the work that callers asked of each model, in seconds of a replica.
 	asked   map[string]*budget.Window
 	notices notice.Register
@@ -287,11 +291,15 @@
 	return s
 }
 
-// setElsewhere takes the work of all other daemons.
-func (b *board) setElsewhere(s relay.Sum, now time.Time) {
+// setElsewhere takes the work of all other daemons. far is that at replicas of other
+// failure domains; nil if it is not told of now.
+func (b *board) setElsewhere(s relay.Sum, far map[int64]relay.Work, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others, b.othersAt = s, now
+	if far != nil {
+		b.far, b.farAt = far, now
+	}
 }
 
 // noEvent stands for the time since the last event where there was none.
@@ -300,8 +308,12 @@
 // elsewhere returns the work that other daemons have at the replica of epoch. The
 // caller holds the lock.
 func (b *board) elsewhere(epoch int64, now time.Time) relay.Work {
-	w := b.others.Work[epoch]
+	w, ok := b.others.Work[epoch]
 	age := now.Sub(b.othersAt)
+	if distant, told := b.far[epoch]; !ok && told && now.Sub(b.farAt) <= namedAge {
+		// It is told of too seldom for its age to show that the replica is silent.
+		w, age = distant, 0
+	}
 	if age > statusAge {
 		w = relay.Work{}
 	}
--- a/gateway/board_test.go
+++ b/gateway/board_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -40,8 +41,28 @@
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 1000 {
-		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, random.IntN)
+		i, _ := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 1000}, 0, random.IntN)
 		got[i]++
 	}
 	require.Less(t, got[2], 50, "requests at the slow replica: %v", got)
 }
+
+// TestReplicaThatOthersGaveUp is the pattern of the large utility: hundreds of daemons must
+// not each find out with requests of their own that a replica has lost a member.
+func TestReplicaThatOthersGaveUp(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name  string
+		other relay.Work
+		want  time.Duration
+	}{
+		{"idle", relay.Work{Silent: noEvent}, 0},
+		{"one_other_daemon_gave_it_up", relay.Work{Silent: noEvent, Stalled: 1}, 0},
+		{"several_gave_it_up", relay.Work{Silent: noEvent, Stalled: stallWitnesses}, witnessed},
+		{"several_did_but_it_writes_for_others", relay.Work{Load: dispatch.Load{Writing: 3}, Silent: 40 * time.Millisecond, Stalled: 9}, 40 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, silence(&seat{}, tc.other, now))
+		})
+	}
+}
--- /dev/null
+++ b/gateway/changes_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// listedMember returns a roster with one server that is in a replica, by the list.
+func listedMember(m site.Membership) *roster {
+	r := &roster{}
+	r.put(0, 10, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 3, Member: m}, 0)
+	return r
+}
+
+// TestReportsBeforeTheList is the pattern of each repair: a server says itself what the list
+// shows a second later.
+func TestReportsBeforeTheList(t *testing.T) {
+	ready := site.Membership{Group: "large/1/1", Epoch: 7, State: site.Ready}
+	open := site.Membership{Group: "large/1/1", Epoch: 7, State: site.Open}
+	later := site.Membership{Group: "large/2/1", Epoch: 9, State: site.Joining}
+	put := func(r *roster, at time.Duration, born int64, m site.Membership) {
+		r.put(at, 11, site.Server{ID: "s", Service: "models", Address: "a", Born: born, Sequence: 4, Member: m}, 0)
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(r *roster)
+		want site.Membership
+	}{
+		{"newer_than_the_list", func(r *roster) { r.report(time.Millisecond, "s", 5, open) }, open},
+		{"of_another_life", func(r *roster) { r.report(time.Millisecond, "s", 4, open) }, ready},
+		{"of_an_earlier_replica", func(r *roster) {
+			r.report(time.Millisecond, "s", 5, site.Membership{Group: "large/0/1", Epoch: 6, State: site.Open})
+		}, ready},
+		{"the_list_lags", func(r *roster) { r.report(time.Millisecond, "s", 5, open); put(r, time.Second, 5, ready) }, open},
+		{"the_list_has_caught_up", func(r *roster) { r.report(time.Millisecond, "s", 5, open); put(r, 2*reportHolds, 5, ready) }, ready},
+		{"the_list_has_a_later_replica", func(r *roster) { r.report(time.Millisecond, "s", 5, open); put(r, time.Second, 5, later) }, later},
+		{"the_list_has_a_new_life", func(r *roster) { r.report(time.Millisecond, "s", 5, open); put(r, time.Second, 6, site.Membership{}) }, site.Membership{}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := listedMember(ready)
+			tc.do(r)
+			require.Equal(t, tc.want, r.entries["s"].server.Member)
+		})
+	}
+}
+
+func TestAnnouncements(t *testing.T) {
+	var a announcements
+	add := func(n int) { a.add(change{Group: fmt.Sprint(n)}) }
+	groups := func(incarnation string) []string {
+		var out []string
+		for _, c := range a.since(incarnation) {
+			out = append(out, c.Group)
+		}
+		return out
+	}
+	add(0)
+	require.Empty(t, groups("x"), "one that is first told knows the list")
+	add(1)
+	add(2)
+	require.Equal(t, []string{"1", "2"}, groups("x"))
+	require.Empty(t, groups("x"), "each is told once")
+	require.Empty(t, groups("y"))
+	for n := range 2 * reportsKept {
+		add(n)
+	}
+	require.Len(t, groups("x"), reportsKept, "what is kept is bounded")
+	add(-1)
+	a.forget(func(incarnation string) bool { return incarnation == "y" })
+	require.Empty(t, groups("x"))
+	require.Len(t, groups("y"), reportsKept)
+}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -92,6 +92,10 @@
 		c.takeHeard(now, m)
 	case serversLeave:
 		c.takeLeaving(m)
+	case reported:
+		c.takeReport(now, m)
+	case replicasChange:
+		c.takeChanges(now, m)
 	case beaten:
 		c.leadership.candidate.Renewed(now, m.sentAt, m.term)
 	case orderDone:
@@ -145,6 +149,7 @@
 	case platform.TopicDaemons:
 		c.takeDaemons(now, m)
 	}
+	c.dirty = c.dirty || !c.loaded[m.topic]
 	c.loaded[m.topic] = true
 }
 
@@ -298,6 +303,9 @@
 		}
 		old, known := c.daemons[r.Key]
 		c.takeSuccessor(now, old.Heartbeat, h)
+		if h.Front == c.gateway.settings.Front && h.Incarnation != c.gateway.incarnation {
+			c.gateway.formerSecret.CompareAndSwap(nil, &h.Secret)
+		}
 		if m.news.Whole && !known && h.Incarnation != c.gateway.incarnation {
 			// The newest record of a key may be of a daemon that ended long ago.
 			c.daemons[r.Key] = Peer{Heartbeat: h, HeardAt: now - peerTimeout + heartbeatInterval*3/2}
@@ -378,8 +386,8 @@
 func (c *control) publish(now time.Duration) {
 	c.dirty = false
 	v := &View{
-		Configuration: c.configuration, Out: c.out, Replicas: make(map[string][]Replica), Plain: make(map[string][]site.Server),
-		Peers: make(map[string]heartbeat), Daemons: 1, Ready: c.canServe(),
+		Configuration: c.configuration, Out: c.out, Replicas: make(map[string][]Replica), Far: make(map[int64]bool), Plain: make(map[string][]site.Server),
+		Peers: make(map[string]heartbeat), Daemons: 1, Ready: c.canServe(), Acquainted: c.loaded[platform.TopicDaemons],
 	}
 	c.publishDaemons(v)
 	if c.configuration != nil {
@@ -388,6 +396,7 @@
 		}
 		c.publishReplicas(now, v)
 	}
+	c.announce(now, v)
 	old := c.gateway.view.Load()
 	c.gateway.monitor.Check(old.Configuration == nil || v.Configuration.Version >= old.Configuration.Version,
 		invariant.ConfigurationOffset, "configuration would revert")
@@ -441,6 +450,9 @@
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		if r, ok := c.replica(now, name, members[name]); ok {
 			v.Replicas[r.Model.Name] = append(v.Replicas[r.Model.Name], r)
+			if r.Head.FailureDomain != c.gateway.settings.FailureDomain {
+				v.Far[r.Epoch] = true
+			}
 		}
 	}
 }
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -113,7 +113,7 @@
 // backoff returns the pause after a number of failed reads in a row.
 func (g *Gateway) backoff(failures int) time.Duration {
 	longest := longestBackoff
-	if g.isHub() {
+	if g.isReader() {
 		longest = longestHubBackoff
 	}
 	pause := min(retryInterval<<min(failures-1, 6), longest)
@@ -129,12 +129,40 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := clock.Boot()
-	if n.isHub || n.newsAt == 0 {
+	switch {
+	case n.isReader:
 		return true
+	case n.newsAt == 0:
+		return g.readsAtStart(topic, now)
 	}
 	// Whether the store answers at all is found out by one topic.
 	tries := topic == platform.TopicOperators || now-n.readAt < storeAnswers
-	return now-n.newsAt > relayedAge && tries
+	oldest := max(relayedAge, time.Duration(relayedShare*float64(g.bounds().Apply)))
+	return now-n.newsAt > oldest && tries
+}
+
+const (
+	// hubsFirst is how long a daemon that starts with all others for the first time waits
+	// for what the hubs tell before it reads the store itself: nobody calls yet.
+	hubsFirst = 3 * time.Second
+	// listFirst is how long any other daemon that starts waits for the list of servers: a
+	// hub passes it on within two statuses. Read by hundreds of daemons that start again
+	// together, it would take the store seconds.
+	listFirst = 800 * time.Millisecond
+)
+
+// readsAtStart returns whether this daemon, which has had no news of a hub yet, reads topic
+// itself.
+func (g *Gateway) readsAtStart(topic string, now time.Duration) bool {
+	switch {
+	case topic == platform.TopicDaemons:
+		return true
+	case g.settings.FirstRun:
+		return now-g.startedAt > hubsFirst
+	case topic == platform.TopicServers:
+		return now-g.startedAt > listFirst
+	}
+	return true
 }
 
 const (
@@ -149,7 +177,7 @@
 // readInterval returns the time between reads of topic: usual for a hub.
 func (g *Gateway) readInterval(topic string, usual time.Duration) time.Duration {
 	switch {
-	case usual > 0 && !g.isHub():
+	case usual > 0 && !g.isReader():
 		return aloneReads
 	case topic == platform.TopicServers && g.term.Load() != 0:
 		return leaderReads
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	DroppedLines func() int64
 
 	settings    site.Settings
+	startedAt   time.Duration
 	incarnation string
 	logger      *log.Logger
 	tracer      trace.Tracer
@@ -42,8 +43,11 @@
 	peerClient *http.Client
 	// secret is what peers must carry to send statuses to this daemon.
 	secret string
-	kept   *http.Transport
-	fresh  *http.Transport
+	// formerSecret is that of the life of this daemon before, by which others know it until
+	// they have read its heartbeat.
+	formerSecret atomic.Pointer[string]
+	kept         *http.Transport
+	fresh        *http.Transport
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -73,6 +77,7 @@
 func New(s site.Settings, logger *log.Logger, tracer trace.Tracer) *Gateway {
 	g := &Gateway{
 		settings:    s,
+		startedAt:   clock.Boot(),
 		incarnation: uuid.NewString(),
 		logger:      logger,
 		tracer:      tracer,
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -80,8 +80,10 @@
 	// probing holds when each suspected replica or head was last looked at, alive when
 	// servers answered another hub.
 	probing map[string]time.Duration
-	alive   map[string]time.Duration
-	dead    map[string]deadServer
+	// asked holds when each server that is to change was last asked for its report.
+	asked map[string]time.Duration
+	alive map[string]time.Duration
+	dead  map[string]deadServer
 }
 
 // tenureBounds are the times by which daemons follow each other as leaders. A
@@ -150,10 +152,10 @@
 // elect claims a term if this daemon may, and notes when it begins or ends to lead.
 func (c *control) elect(now time.Duration) {
 	l := &c.leadership
-	if !l.asking && now >= l.askAt && !c.gateway.leaving.Load() {
+	if !l.asking && now >= l.askAt && !c.gateway.leaving.Load() && c.mayRun() {
 		if end, may := l.candidate.Claim(now, l.heardAt); !l.read {
 			c.readTerms()
-		} else if may && c.canServe() && (c.gateway.isHub() || l.heardAt-l.candidate.SeenAt() > 2*tenureBounds.Wait) {
+		} else if may && c.canServe() {
 			c.claim(end)
 		}
 	}
@@ -168,7 +170,7 @@
 		return
 	}
 	c.gateway.logger.Info().Str("event", "leadership").Int64("term", term).Dur("until", l.candidate.Until()-now).Msg("lead changed")
-	l.planner, l.probing, l.alive = nil, make(map[string]time.Duration), make(map[string]time.Duration)
+	l.planner, l.probing, l.alive, l.asked = nil, make(map[string]time.Duration), make(map[string]time.Duration), make(map[string]time.Duration)
 	if leads {
 		l.planner = formation.New(term, now)
 		l.term = term
@@ -176,11 +178,18 @@
 	}
 }
 
-// isHub returns whether this daemon reads for others.
-func (g *Gateway) isHub() bool {
+// mayRun returns whether this daemon is one to lead: a reader, which knows the fleet first,
+// or any if no reader has led for a while.
+func (c *control) mayRun() bool {
+	l := &c.leadership
+	return c.gateway.isReader() || l.heardAt-max(l.candidate.SeenAt(), c.gateway.startedAt) > 2*tenureBounds.Wait
+}
+
+// isReader returns whether this daemon reads the store for others.
+func (g *Gateway) isReader() bool {
 	g.neighbours.mu.Lock()
 	defer g.neighbours.mu.Unlock()
-	return g.neighbours.isHub
+	return g.neighbours.isReader
 }
 
 // leads returns whether this daemon leads now.
@@ -236,9 +245,13 @@
 		c.gateway.logger.Info().Str("event", "replica_repaired").Str("group", r.Replica).Str("model", r.Model).Str("cause", r.Cause.String()).
 			Dur("after", r.After).Msg("servers of a lost replica serve again")
 	}
+	for _, e := range c.leadership.planner.Endings() {
+		c.tellAll(change{Group: e.Replica, Epoch: e.Epoch})
+	}
 	for _, head := range c.leadership.planner.Unlisted() {
 		c.lookAgain(now, head)
 	}
+	c.askAwaited(now)
 	c.describe(now, f)
 }
 
@@ -447,6 +460,7 @@
 // forgetDead forgets dead servers that have a new life or are still listed although
 // a silent one would have lapsed, and looks and answers that are too old to count.
 func (c *control) forgetDead(now time.Duration) {
+	maps.DeleteFunc(c.leadership.asked, func(_ string, at time.Duration) bool { return now-at > reportInterval })
 	maps.DeleteFunc(c.leadership.probing, func(_ string, at time.Duration) bool { return now-at > probeInterval })
 	maps.DeleteFunc(c.leadership.alive, func(_ string, at time.Duration) bool { return now-at >= aliveFor })
 	for id, d := range c.leadership.dead {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -31,13 +32,27 @@
 	// hubTimeout is how long a hub may be without an answer before its followers
 	// turn to the next one.
 	hubTimeout = 700 * time.Millisecond
-	// relayedAge is how old the last news from a hub may be before a daemon reads the
-	// store itself.
-	relayedAge = 700 * time.Millisecond
+	// relayedAge is how old the last news from a hub may be at least before a daemon reads
+	// the store itself; relayedShare is the same as a part of the time within which a
+	// configuration must be in force. The rest is for the read that brought the last news
+	// and for its own.
+	relayedAge   = 700 * time.Millisecond
+	relayedShare = 0.35
 	// staleAge is how old the read of a hub may be whose news it passes on: a read that
 	// waited as long as it may, one more on its way, and a slow answer. With relayedAge
 	// it stays below the time within which a configuration must be in force.
 	staleAge = 2*operatorsWait + 300*time.Millisecond
+	// passedOnAge is the same for the news that a hub has from another one: one message more.
+	passedOnAge = staleAge + 2*statusInterval
+	// daemonsTold is the time between two messages that name the daemons that live, and
+	// that tell of replicas in other failure domains; namedAge is how long that counts.
+	daemonsTold = 500 * time.Millisecond
+	namedAge    = 3 * daemonsTold
+	// hubReturn is how long a daemon follows a hub of another failure domain before it
+	// tries those of its own again.
+	hubReturn = 5 * time.Second
+	// secondOpinions is the number of other hubs that are asked to look at a server.
+	secondOpinions = 2
 	// senderIdle is how long an unused link is kept.
 	senderIdle = 5 * time.Second
 )
@@ -65,6 +80,12 @@
 	Alive []string `cbor:"11,keyasint,omitempty"`
 	// Leaving names servers that said lately that they leave.
 	Leaving []notice.Life `cbor:"12,keyasint,omitempty"`
+	// Hub means that Sum is the work of a hub with its followers.
+	Hub bool `cbor:"13,keyasint,omitempty"`
+	// Far is the work at replicas of other failure domains, told now and then.
+	Far map[int64]relay.Work `cbor:"14,keyasint,omitempty"`
+	// Changes are replicas that began or ended to serve, each told once.
+	Changes []change `cbor:"15,keyasint,omitempty"`
 }
 
 // A target is a server to look at.
@@ -80,6 +101,9 @@
 	sum relay.Sum
 	at  time.Duration
 	hub bool
+	// daemons are those that the sender last named, at namedAt.
+	daemons []uint64
+	namedAt time.Duration
 }
 
 // A usedSender is a link and when it was last used.
@@ -109,12 +133,25 @@
 	answeredAt time.Duration
 	readAt     time.Duration
 	isHub      bool
+	// isReader means that this daemon is one of the hubs that read the store.
+	isReader bool
+	// namedAt is when each other daemon was last told who lives.
+	namedAt   map[string]time.Duration
+	announced announcements
 }
 
 // peerHandler takes the messages of other daemons.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(link.Path, link.Accept(g.secret, g.links, g.takeMessage))
+	present := link.Accept(g.secret, g.links, g.takeMessage)
+	mux.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) {
+		if former := g.formerSecret.Load(); former != nil && link.Authorised(r, *former) {
+			g.metrics.events.Add("peers_by_former_heartbeat", 1)
+			link.Accept(*former, g.links, g.takeMessage).ServeHTTP(w, r)
+			return
+		}
+		present.ServeHTTP(w, r)
+	})
 	return mux
 }
 
@@ -138,10 +175,10 @@
 
 // members returns the daemons that are known, by front address.
 func (g *Gateway) members(v *View) []relay.Member {
-	out := []relay.Member{{Name: g.settings.Front, Strength: g.settings.Limits.CPUShare}}
+	out := []relay.Member{{Name: g.settings.Front, FailureDomain: g.settings.FailureDomain, Strength: g.settings.Limits.CPUShare}}
 	for _, h := range v.Peers {
 		if !h.Leaving && h.Front != g.settings.Front {
-			out = append(out, relay.Member{Name: h.Front, Strength: h.Strength})
+			out = append(out, relay.Member{Name: h.Front, FailureDomain: h.Zone, Strength: h.Strength})
 		}
 	}
 	return out
@@ -162,39 +199,85 @@
 	view, now := g.view.Load(), clock.Boot()
 	members := g.members(view)
 	hubs := relay.Hubs(members)
+	sources := hubs
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isHub = slices.Contains(hubs, g.settings.Front); n.isHub {
-		m := message{From: g.incarnation, Sum: g.sumBelow(now), Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving()}
-		for _, front := range hubs {
-			if h, ok := view.peer(front); ok {
-				g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
-			}
-		}
+	n.isHub = slices.Contains(hubs, g.settings.Front) && view.Acquainted && !g.settling(now)
+	n.isReader = n.isHub && slices.Contains(relay.Readers(hubs), g.settings.Front)
+	m := message{From: g.incarnation, Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving(), Hub: n.isHub}
+	if n.isHub {
+		m.Sum = g.sumBelow(now)
 		others := g.sumExcept("", now)
-		g.board.setElsewhere(others, time.Now())
+		g.board.setElsewhere(others, nil, time.Now())
 		g.tell(heard{daemons: others.Daemons, sum: others})
-		if now-n.topic(platform.TopicOperators).ReadAt() < staleAge {
-			return statusInterval
-		}
 		// The store may turn this hub away and answer others.
-		hubs = slices.DeleteFunc(hubs, func(front string) bool { return front == g.settings.Front })
+		sources = slices.DeleteFunc(relay.Readers(hubs), func(front string) bool { return front == g.settings.Front })
+	} else {
+		m.Sum = g.board.sum(g.incarnation, time.Now())
 	}
-	g.chooseHub(relay.Order(g.settings.Front, hubs), now)
-	if h, ok := view.peer(n.hub); ok {
-		m := message{
-			From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Have: make(map[string]int64), Stamp: now,
-			Sum: g.board.sum(g.incarnation, time.Now()), Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving(),
+	if n.isReader && now-n.topic(platform.TopicOperators).ReadAt() < staleAge {
+		n.hub = ""
+	} else {
+		g.chooseHub(relay.Order(g.settings.Front, sources, func(front string) bool {
+			h, ok := view.peer(front)
+			return ok && h.Zone == g.settings.FailureDomain
+		}), now)
+	}
+	for _, front := range hubs {
+		h, ok := view.peer(front)
+		if !ok || !n.isHub && front != n.hub {
+			continue
 		}
-		for _, topic := range feeds {
-			m.Have[topic] = n.topic(topic).End()
+		told := m
+		told.Changes = n.announced.since(h.Incarnation)
+		if !n.namesDaemons(h.Incarnation, now) {
+			told.Sum.Daemons = nil
 		}
-		g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
+		if front == n.hub {
+			told = g.asking(told, now)
+		}
+		g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, told)
+	}
+	if n.isHub {
+		return statusInterval
 	}
 	return max(statusInterval, time.Duration(len(members)/max(len(hubs), 1))*statusCost)
 }
 
+// settling returns whether this daemon has not yet had the time to get to know the others
+// that started with it for the first time.
+func (g *Gateway) settling(now time.Duration) bool {
+	return g.settings.FirstRun && now-g.startedAt < firstRunSettle
+}
+
+// firstRunSettle is how long a daemon that starts with all others for the first time waits
+// for their heartbeats before it takes itself for a hub: their spread, by the platform's
+// pages, and a read.
+const firstRunSettle = 1400 * time.Millisecond
+
+// asking returns m as a question for news. The caller holds the lock.
+func (g *Gateway) asking(m message, now time.Duration) message {
+	m.Peer, m.Secret, m.Stamp, m.Have = g.settings.Peer, g.secret, now, make(map[string]int64)
+	for _, topic := range feeds {
+		m.Have[topic] = g.neighbours.topic(topic).End()
+	}
+	return m
+}
+
+// namesDaemons returns whether it is time to tell a daemon who lives, and notes that it is
+// told.
+func (n *neighbours) namesDaemons(incarnation string, now time.Duration) bool {
+	if n.namedAt == nil {
+		n.namedAt = make(map[string]time.Duration)
+	}
+	if at, ok := n.namedAt[incarnation]; ok && now-at < daemonsTold {
+		return false
+	}
+	n.namedAt[incarnation] = now
+	return true
+}
+
 // chooseHub turns to the next hub when the present one does not answer. The caller
 // holds the lock.
 func (g *Gateway) chooseHub(order []string, now time.Duration) {
@@ -204,11 +287,13 @@
 	case len(order) == 0:
 		n.hub = ""
 	case order[at] != n.hub:
-		n.hub, n.askedAt = order[0], now
+		n.hub, n.askedAt, n.dry = order[0], now, false
 	case n.dry || now-max(n.askedAt, n.newsAt) > hubTimeout:
 		next := order[(at+1)%len(order)]
 		g.logger.Warn().Str("event", "hub_lost").Str("hub", n.hub).Str("next", next).Dur("silent", now-n.answeredAt).Dur("no_news", now-n.newsAt).Msg("hub does not tell what is new")
 		n.hub, n.askedAt, n.dry = next, now, false
+	case at > 0 && now-n.askedAt > hubReturn:
+		n.hub, n.askedAt = order[0], now
 	}
 }
 
@@ -275,6 +360,8 @@
 			delete(n.senders, incarnation)
 		}
 	}
+	n.announced.forget(func(incarnation string) bool { _, ok := n.senders[incarnation]; return ok })
+	maps.DeleteFunc(n.namedAt, func(_ string, at time.Duration) bool { return now-at > senderIdle })
 	for key, s := range n.sent {
 		if now-s.at > time.Minute {
 			delete(n.sent, key)
@@ -298,6 +385,9 @@
 	now := clock.Boot()
 	g.board.convicted(m.Crashes)
 	g.hearLeaving(m)
+	if len(m.Changes) > 0 {
+		g.tell(replicasChange{changes: m.Changes})
+	}
 	if len(m.Alive) > 0 {
 		g.tell(aliveElsewhere{servers: m.Alive})
 	}
@@ -315,14 +405,15 @@
 	if len(m.Alive) > 0 {
 		return
 	}
-	if n.parts == nil {
-		n.parts = make(map[string]part)
-	}
-	n.parts[m.From] = part{sum: m.Sum, at: now, hub: m.Peer == ""}
-	if m.Peer == "" {
+	n.takePart(m, now)
+	if m.Have == nil {
 		return
 	}
-	answer := message{From: g.incarnation, Echo: m.Stamp, News: make(map[string]relay.News), Sum: g.sumExcept(m.From, now)}
+	answer := message{From: g.incarnation, Echo: m.Stamp, News: make(map[string]relay.News)}
+	if !m.Hub {
+		g.tellWork(&answer, m, now)
+	}
+	answer.Changes = n.announced.since(m.From)
 	answer.Crashes, answer.Leaving = g.board.lateCrashes(time.Now()), g.board.toldLeaving()
 	for topic, have := range m.Have {
 		if news, ok := n.newsFor(m.From, topic, have, now); ok {
@@ -333,6 +424,50 @@
 	g.sendTo(context.Background(), m.From, m.Peer, m.Secret, answer)
 }
 
+// takePart takes the work of the sender of m, who names the daemons that live now and then
+// only. The caller holds the lock.
+func (n *neighbours) takePart(m message, now time.Duration) {
+	if n.parts == nil {
+		n.parts = make(map[string]part)
+	}
+	p := part{sum: m.Sum, at: now, hub: m.Hub, daemons: m.Sum.Daemons, namedAt: now}
+	if len(p.daemons) == 0 {
+		p.daemons, p.namedAt = n.parts[m.From].daemons, n.parts[m.From].namedAt
+	}
+	p.sum.Daemons = nil
+	n.parts[m.From] = p
+}
+
+// tellWork fills answer with the work of all daemons but the sender of m: what it has work
+// at itself and what is in this failure domain each time, the rest now and then. The
+// caller holds the lock.
+func (g *Gateway) tellWork(answer *message, m message, now time.Duration) {
+	answer.Sum = g.sumExcept(m.From, now)
+	whole := g.neighbours.namesDaemons(m.From, now)
+	if !whole {
+		answer.Sum.Daemons = nil
+	}
+	far := g.view.Load().Far
+	if h, ok := g.view.Load().Peers[m.From]; !ok || h.Zone != g.settings.FailureDomain {
+		// What is far from here may be near to the sender.
+		return
+	}
+	all := answer.Sum.Work
+	answer.Sum.Work = make(map[int64]relay.Work, len(all))
+	for epoch, w := range all {
+		if _, has := m.Sum.Work[epoch]; has || !far[epoch] {
+			answer.Sum.Work[epoch] = w
+			continue
+		}
+		if whole {
+			if answer.Far == nil {
+				answer.Far = make(map[int64]relay.Work)
+			}
+			answer.Far[epoch] = w
+		}
+	}
+}
+
 // A sentNews is what a follower was sent last of a topic.
 type sentNews struct {
 	end int64
@@ -356,7 +491,11 @@
 		have = last.end
 	}
 	news, ok := n.topic(topic).Since(have)
-	if !ok || now-news.ReadAt > staleAge {
+	oldest := staleAge
+	if !n.isReader {
+		oldest = passedOnAge
+	}
+	if !ok || now-news.ReadAt > oldest {
 		return news, false
 	}
 	if len(news.Records) > 0 || !onTheWay {
@@ -371,8 +510,10 @@
 	g.neighbours.mu.Lock()
 	defer g.neighbours.mu.Unlock()
 	m := message{From: g.incarnation, Peer: g.settings.Peer, Secret: g.secret, Probe: targets}
+	asked := 0
 	for _, front := range relay.Hubs(g.members(view)) {
-		if h, ok := view.peer(front); ok {
+		if h, ok := view.peer(front); ok && asked < secondOpinions {
+			asked++
 			g.sendTo(context.Background(), h.Incarnation, h.Peer, h.Secret, m)
 		}
 	}
@@ -397,8 +538,10 @@
 // takeNews takes the answer of a hub. The caller holds the lock.
 func (g *Gateway) takeNews(m message, now time.Duration) {
 	n := &g.neighbours
-	g.board.setElsewhere(m.Sum, time.Now())
-	g.tell(heard{daemons: m.Sum.Daemons, sum: m.Sum})
+	if !n.isHub {
+		g.board.setElsewhere(m.Sum, m.Far, time.Now())
+		g.tell(heard{daemons: m.Sum.Daemons, sum: m.Sum})
+	}
 	n.answeredAt = now
 	if len(m.News) == len(feeds) {
 		n.newsAt = now
@@ -450,7 +593,10 @@
 	if now-p.at > statusAge {
 		return relay.Sum{}
 	}
-	out := relay.Sum{Work: make(map[int64]relay.Work, len(p.sum.Work)), Asked: p.sum.Asked, Daemons: p.sum.Daemons, Traffic: p.sum.Traffic}
+	out := relay.Sum{Work: make(map[int64]relay.Work, len(p.sum.Work)), Asked: p.sum.Asked, Traffic: p.sum.Traffic}
+	if now-p.namedAt <= namedAge {
+		out.Daemons = p.daemons
+	}
 	for epoch, w := range p.sum.Work {
 		w.Silent += now - p.at
 		out.Work[epoch] = w
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -21,6 +21,9 @@
 	// is removed for it to count as cut off from the store, not as leaving: an entry
 	// lapses after three, and the list lags by less than one.
 	silentHeartbeats = 2
+	// reportHolds is how long the list may lag behind what a server said itself: the lag by
+	// the platform's pages, a read, and the way through two hubs.
+	reportHolds = 1500 * time.Millisecond
 	// silentFor bounds how long a member of a replica may be cut off from the store.
 	silentFor = 10 * time.Second
 )
@@ -35,6 +38,8 @@
 	// goneAt is when an entry ends that lapsed while the store was away or its server
 	// was cut off from it; zero if it is listed.
 	goneAt time.Duration
+	// reportedAt is when the membership was last learned first-hand, before the list showed it.
+	reportedAt time.Duration
 	// silent means that the server is a member of a replica and seems to be cut off from
 	// the store: its entry lapsed although it did not leave.
 	silent bool
@@ -71,6 +76,11 @@
 		e.coldUntil = now + coldFor
 	} else {
 		e.last = old.last
+		if old.reportedAt != 0 && now-old.reportedAt < reportHolds && s.Member.Epoch <= old.server.Member.Epoch {
+			// The list lags behind what the server said itself.
+			e.reportedAt, e.server.Member = old.reportedAt, old.server.Member
+			s.Member = e.server.Member
+		}
 	}
 	if s.Member.State != site.Unassigned {
 		e.last = formation.ModelOf(s.Member.Group)
@@ -82,6 +92,21 @@
 	return !known || old.goneAt != 0 || !same(old.server, s) || e.coldUntil != old.coldUntil
 }
 
+// report takes the membership of a life of a server as it is known first-hand, and returns
+// whether that is news.
+func (r *roster) report(now time.Duration, id string, born int64, m site.Membership) bool {
+	e, ok := r.entries[id]
+	if !ok || e.server.Born != born || e.server.Member == m || m.Epoch < e.server.Member.Epoch {
+		return false
+	}
+	e.server.Member, e.reportedAt = m, now
+	if m.State != site.Unassigned {
+		e.last = formation.ModelOf(m.Group)
+	}
+	r.entries[id] = e
+	return true
+}
+
 // leave notes that a life of a server leaves although the list does not show it yet, and
 // returns whether that is news.
 func (r *roster) leave(id string, born int64) bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -129,7 +129,7 @@
 	for i, slowness := range dispatch.Slownesses(paces, now) {
 		candidates[i].Slowness = slowness
 	}
-	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, rand.IntN)
+	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Work, dispatch.Enough(c.route.Target), rand.IntN)
 	if c.sent == 0 {
 		busy := dispatch.Busy(c.service.Engine, model, c.request.Work)
 		b.ask(clock.Boot(), model.Name, time.Duration(dispatch.Pressure(expected, c.route.Target)*float64(busy)))
@@ -148,10 +148,22 @@
 	return replicas[i], nil
 }
 
+const (
+	// stallWitnesses is the number of other daemons that a replica must have stalled for to be
+	// doubted by one that has nothing there: one alone may be cut off itself.
+	stallWitnesses = 2
+	// witnessed is the silence that their word stands for.
+	witnessed = time.Second
+)
+
 // silence returns how long a replica that writes has been without an event, zero
-// if it has nothing to write.
+// if it has nothing to write. One that others have given up looks idle, and is taken for
+// silent.
 func silence(s *seat, other relay.Work, now time.Time) time.Duration {
 	silent := other.Silent
+	if other.Stalled >= stallWitnesses && other.Load.Writing == 0 && s.load().Writing == 0 {
+		return witnessed
+	}
 	if s.load().Writing > 0 {
 		silent = min(silent, now.Sub(s.lastEvent))
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -30,6 +30,8 @@
 	Out map[string]bool
 	// Replicas holds the replicas that serve, by model.
 	Replicas map[string][]Replica
+	// Far holds the epochs of the replicas that serve in other failure domains.
+	Far map[int64]bool
 	// Plain holds the servers of services without an engine.
 	Plain map[string][]site.Server
 	// Addresses are those of the daemons that callers may use.
@@ -40,6 +42,8 @@
 	Daemons int
 	// Peers holds the other daemons, by incarnation.
 	Peers map[string]heartbeat
+	// Acquainted means that the heartbeats of the other daemons have been read.
+	Acquainted bool
 	// Ready means that this daemon can serve.
 	Ready bool
 }
--- a/state/site/daemon.go
+++ b/state/site/daemon.go
@@ -29,8 +29,10 @@
 
 // Bounds are the times and shares that all daemons of a deployment keep to.
 type Bounds struct {
-	Grace         time.Duration
-	Revoke        time.Duration
+	Grace  time.Duration
+	Revoke time.Duration
+	// Apply is the time within which a configuration must be in force everywhere.
+	Apply         time.Duration
 	Stall         time.Duration
 	DirectoryTTL  time.Duration
 	RetryRatio    float64
