feat: work stays in its failure domain while a quarter of its target suffices there

Cause: replicas of the large model are few in each failure domain (three to five on the grown utility), and half of the target let the busiest domain run far ahead of the others. Ruled out: the number of large replicas before callers come (nine in both).

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -125,7 +125,7 @@
 
 // enoughShare is the part of its target within which a first token is early enough for a
 // request to stay in its failure domain.
-const enoughShare = 0.5
+const enoughShare = 0.25
 
 // Enough returns when a first token is early enough for a request to stay in its failure
 // domain, given the target for it.
