--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -199,45 +199,26 @@
 	view, now := g.view.Load(), clock.Boot()
 	members := g.members(view)
 	hubs := relay.Hubs(members)
-	sources := hubs
 	n := &g.neighbours
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.isHub = slices.Contains(hubs, g.settings.Front) && view.Acquainted && !g.settling(now)
 	n.isReader = n.isHub && slices.Contains(relay.Readers(hubs), g.settings.Front)
-	m := message{From: g.incarnation, Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving(), Hub: n.isHub}
+	g.chooseSource(view, hubs, now)
+	m := message{
+		From: g.incarnation, Crashes: g.board.lateCrashes(time.Now()), Leaving: g.board.toldLeaving(),
+		Hub: n.isHub, Sum: g.board.sum(g.incarnation, time.Now()),
+	}
 	if n.isHub {
 		m.Sum = g.sumBelow(now)
 		others := g.sumExcept("", now)
 		g.board.setElsewhere(others, nil, time.Now())
 		g.tell(heard{daemons: others.Daemons, sum: others})
-		// The store may turn this hub away and answer others.
-		sources = slices.DeleteFunc(relay.Readers(hubs), func(front string) bool { return front == g.settings.Front })
-	} else {
-		m.Sum = g.board.sum(g.incarnation, time.Now())
-	}
-	if n.isReader && now-n.topic(platform.TopicOperators).ReadAt() < staleAge {
-		n.hub = ""
-	} else {
-		g.chooseHub(relay.Order(g.settings.Front, sources, func(front string) bool {
-			h, ok := view.peer(front)
-			return ok && h.Zone == g.settings.FailureDomain
-		}), now)
 	}
 	for _, front := range hubs {
-		h, ok := view.peer(front)
-		if !ok || !n.isHub && front != n.hub {
-			continue
-		}
-		told := m
-		told.Changes = n.announced.since(h.Incarnation)
-		if !n.namesDaemons(h.Incarnation, now) {
-			told.Sum.Daemons = nil
+		if h, ok := view.peer(front); ok && (n.isHub || front == n.hub) {
+			g.sendStatus(ctx, h, m, front == n.hub, now)
 		}
-		if front == n.hub {
-			told = g.asking(told, now)
-		}
-		g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, told)
 	}
 	if n.isHub {
 		return statusInterval
@@ -245,6 +226,40 @@
 	return max(statusInterval, time.Duration(len(members)/max(len(hubs), 1))*statusCost)
 }
 
+// chooseSource chooses the hub that this daemon asks for news: a reader if it is a hub, none
+// if it reads the store itself and the store answers it. The caller holds the lock.
+func (g *Gateway) chooseSource(view *View, hubs []string, now time.Duration) {
+	n, sources := &g.neighbours, hubs
+	if n.isReader && now-n.topic(platform.TopicOperators).ReadAt() < staleAge {
+		n.hub = ""
+		return
+	}
+	if n.isHub {
+		sources = slices.DeleteFunc(slices.Clone(relay.Readers(hubs)), func(front string) bool { return front == g.settings.Front })
+	}
+	g.chooseHub(relay.Order(g.settings.Front, sources, func(front string) bool {
+		h, ok := view.peer(front)
+		return ok && h.Zone == g.settings.FailureDomain
+	}), now)
+}
+
+// sendStatus sends m to the hub h, as a question for news if asks is set. The caller holds
+// the lock.
+func (g *Gateway) sendStatus(ctx context.Context, h heartbeat, m message, asks bool, now time.Duration) {
+	n := &g.neighbours
+	m.Changes = n.announced.since(h.Incarnation)
+	if !n.namesDaemons(h.Incarnation, now) {
+		m.Sum.Daemons = nil
+	}
+	if asks {
+		m.Peer, m.Secret, m.Stamp, m.Have = g.settings.Peer, g.secret, now, make(map[string]int64)
+		for _, topic := range feeds {
+			m.Have[topic] = n.topic(topic).End()
+		}
+	}
+	g.sendTo(ctx, h.Incarnation, h.Peer, h.Secret, m)
+}
+
 // settling returns whether this daemon has not yet had the time to get to know the others
 // that started with it for the first time.
 func (g *Gateway) settling(now time.Duration) bool {
@@ -256,15 +271,6 @@
 // pages, and a read.
 const firstRunSettle = 1400 * time.Millisecond
 
-// asking returns m as a question for news. The caller holds the lock.
-func (g *Gateway) asking(m message, now time.Duration) message {
-	m.Peer, m.Secret, m.Stamp, m.Have = g.settings.Peer, g.secret, now, make(map[string]int64)
-	for _, topic := range feeds {
-		m.Have[topic] = g.neighbours.topic(topic).End()
-	}
-	return m
-}
-
 // namesDaemons returns whether it is time to tell a daemon who lives, and notes that it is
 // told.
 func (n *neighbours) namesDaemons(incarnation string, now time.Duration) bool {
