perf: a peer is found by its address, and the list of servers is sorted once a view

Cause: the order of hubs asked for each peer of 295 by a walk over all, some thirty times a status. The wait for the list of servers after a start is 1.5 s now, as a hub that starts at the same time is reached after a failed connection.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -387,14 +387,15 @@
 	c.dirty = false
 	v := &View{
 		Configuration: c.configuration, Out: c.out, Replicas: make(map[string][]Replica), Far: make(map[int64]bool), Plain: make(map[string][]site.Server),
-		Peers: make(map[string]heartbeat), Daemons: 1, Ready: c.canServe(), Acquainted: c.loaded[platform.TopicDaemons],
+		Peers: make(map[string]heartbeat), Incarnations: make(map[string]string), Daemons: 1, Ready: c.canServe(), Acquainted: c.loaded[platform.TopicDaemons],
 	}
 	c.publishDaemons(v)
 	if c.configuration != nil {
-		for _, s := range c.servers.all() {
+		listed := c.servers.all()
+		for _, s := range listed {
 			c.publishServer(v, s)
 		}
-		c.publishReplicas(now, v)
+		c.publishReplicas(now, v, listed)
 	}
 	c.announce(now, v)
 	old := c.gateway.view.Load()
@@ -418,7 +419,7 @@
 			continue
 		}
 		v.Daemons++
-		v.Peers[h.Incarnation] = h
+		v.Peers[h.Incarnation], v.Incarnations[h.Front] = h, h.Incarnation
 	}
 	if v.Ready {
 		v.Addresses = append(v.Addresses, c.gateway.settings.Front)
@@ -440,9 +441,9 @@
 
 // publishReplicas adds the replicas that serve: all their members report the same
 // epoch, and the head is open.
-func (c *control) publishReplicas(now time.Duration, v *View) {
+func (c *control) publishReplicas(now time.Duration, v *View, listed []entry) {
 	members := make(map[string][]entry)
-	for _, e := range c.servers.all() {
+	for _, e := range listed {
 		if m := e.server.Member; m.State >= site.Ready {
 			members[m.Group] = append(members[m.Group], e)
 		}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -145,10 +145,11 @@
 	// hubsFirst is how long a daemon that starts with all others for the first time waits
 	// for what the hubs tell before it reads the store itself: nobody calls yet.
 	hubsFirst = 3 * time.Second
-	// listFirst is how long any other daemon that starts waits for the list of servers: a
-	// hub passes it on within two statuses. Read by hundreds of daemons that start again
-	// together, it would take the store seconds.
-	listFirst = 800 * time.Millisecond
+	// listFirst is how long any other daemon that starts waits for the list of servers: a hub
+	// that starts at the same time reads it, and is reached after a connection that failed
+	// and one more attempt. Read by hundreds of daemons that start again together, the list
+	// would take the store seconds.
+	listFirst = 1500 * time.Millisecond
 )
 
 // readsAtStart returns whether this daemon, which has had no news of a hub yet, reads topic
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -186,12 +186,8 @@
 
 // peer returns the daemon with the given front address.
 func (v *View) peer(front string) (heartbeat, bool) {
-	for _, h := range v.Peers {
-		if h.Front == front {
-			return h, true
-		}
-	}
-	return heartbeat{}, false
+	h, ok := v.Peers[v.Incarnations[front]]
+	return h, ok
 }
 
 // tellNeighbours sends what is due and returns when to do so next.
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -42,6 +42,8 @@
 	Daemons int
 	// Peers holds the other daemons, by incarnation.
 	Peers map[string]heartbeat
+	// Incarnations holds theirs by their front addresses.
+	Incarnations map[string]string
 	// Acquainted means that the heartbeats of the other daemons have been read.
 	Acquainted bool
 	// Ready means that this daemon can serve.
