fix: two replicas are compared, never four: one near and one far where the near one is late

Its first token is rarely early enough, so that two far replicas were drawn besides two near ones: the best of four by news that are half a second old, which all daemons take at once (docs/design/load.md has the best of three and four as worse). Now the second of two is a far one where the first is late; half of the target is early enough again.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -125,7 +125,7 @@
 
 // enoughShare is the part of its target within which a first token is early enough for a
 // request to stay in its failure domain.
-const enoughShare = 0.25
+const enoughShare = 0.5
 
 // Enough returns when a first token is early enough for a request to stay in its failure
 // domain, given the target for it.
@@ -135,8 +135,8 @@
 // few that pick draws, and that time, -1 if there is none. pick returns a random
 // number below its argument. What is known of the work of others is a few tenths of
 // a second old: if all daemons took the best of all, they would all take the same.
-// Candidates of other failure domains are drawn only where those of the own one are
-// expected to take longer than enough, as what they answer has a longer way.
+// Both are of the own failure domain, as what others answer has a longer way, unless the
+// first is expected to take longer than enough: then the other one is of another.
 func Choose(e *site.Engine, m site.Model, candidates []Candidate, work Work, enough time.Duration, pick func(int) int) (int, time.Duration) {
 	var near, far []int
 	for i, c := range candidates {
@@ -147,13 +147,20 @@
 		}
 	}
 	b := best{index: -1, least: time.Duration(math.MaxInt64)}
-	for _, i := range draw(near, pick) {
-		b.consider(i, FirstToken(e, m, candidates[i], work), pick)
-	}
-	if b.index < 0 || b.least > enough {
-		for _, i := range draw(far, pick) {
-			b.consider(i, FirstToken(e, m, candidates[i], work)+farCost, pick)
+	for n := range drawn {
+		from := &near
+		if len(near) == 0 || n > 0 && b.least > enough && len(far) > 0 {
+			from = &far
+		}
+		if len(*from) == 0 {
+			break
 		}
+		i := draw(from, pick)
+		expected := FirstToken(e, m, candidates[i], work)
+		if candidates[i].Far {
+			expected += farCost
+		}
+		b.consider(i, expected, pick)
 	}
 	return b.index, b.least
 }
@@ -182,13 +189,13 @@
 // close to the mean however old the news are.
 const drawn = 2
 
-// draw returns a few of all, in an order drawn by pick.
-func draw(all []int, pick func(int) int) []int {
-	for i := range min(drawn, len(all)) {
-		j := i + pick(len(all)-i)
-		all[i], all[j] = all[j], all[i]
-	}
-	return all[:min(drawn, len(all))]
+// draw takes one of all out, drawn by pick.
+func draw(all *[]int, pick func(int) int) int {
+	j, last := pick(len(*all)), len(*all)-1
+	drawn := (*all)[j]
+	(*all)[j] = (*all)[last]
+	*all = (*all)[:last]
+	return drawn
 }
 
 // tie is the difference of expected times below which daemons choose at random,
