--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,7 +85,6 @@
 // which one has lost most of its replicas. Work stays in its own failure domain where that
 // is early enough, and the one that has lost its replicas is helped out by the others.
 func TestNearFirst(t *testing.T) {
-	const domains, lost, enough = 5, 0, 150 * time.Millisecond
 	for _, tc := range []struct {
 		name                string
 		left                int
@@ -96,51 +96,58 @@
 		{"none_is_left", 0, 0, 0, 500 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			random := rand.New(rand.NewPCG(3, 4))
-			var replicas []int
-			for d := range domains {
-				n := 8
-				if d == lost {
-					n = tc.left
-				}
-				for range n {
-					replicas = append(replicas, d)
-				}
-			}
-			var (
-				loads, seen = make([]int, len(replicas)), make([]int, len(replicas))
-				near, all   int
-				longest     time.Duration
-			)
-			for n := range 4000 {
-				if n%60 == 0 {
-					for i := range loads {
-						loads[i] = loads[i] * 6 / 7
-					}
-					copy(seen, loads)
-				}
-				from := n % domains
-				candidates := make([]dispatch.Candidate, len(replicas))
-				for i, d := range replicas {
-					candidates[i] = dispatch.Candidate{Load: dispatch.Load{Writing: seen[i]}, Far: d != from}
-				}
-				i, expected := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, enough, random.IntN)
-				loads[i]++
-				longest = max(longest, expected)
-				if from == lost {
-					if all++; replicas[i] == from {
-						near++
-					}
-				}
-			}
-			share := float64(near) / float64(all)
-			require.GreaterOrEqual(t, share, tc.leastNear)
-			require.LessOrEqual(t, share, tc.mostNear)
+			near, longest := spread(tc.left)
+			require.GreaterOrEqual(t, near, tc.leastNear)
+			require.LessOrEqual(t, near, tc.mostNear)
 			require.Less(t, longest, tc.longest, "longest expected wait for a first token")
 		})
 	}
 }
 
+// spread sends requests from five failure domains of eight replicas each, of which the
+// first has left only. It returns the share of the requests from there that stay, and the
+// longest expected wait of all.
+func spread(left int) (float64, time.Duration) {
+	const domains, enough, newsEvery = 5, 150 * time.Millisecond, 60
+	random := rand.New(rand.NewPCG(3, 4))
+	var replicas []int
+	for d := range domains {
+		n := 8
+		if d == 0 {
+			n = left
+		}
+		replicas = append(replicas, slices.Repeat([]int{d}, n)...)
+	}
+	var (
+		loads, seen = make([]int, len(replicas)), make([]int, len(replicas))
+		near, all   float64
+		longest     time.Duration
+	)
+	for n := range 4000 {
+		if n%newsEvery == 0 {
+			for i := range loads {
+				loads[i] = loads[i] * 6 / 7
+			}
+			copy(seen, loads)
+		}
+		from := n % domains
+		candidates := make([]dispatch.Candidate, len(replicas))
+		for i, d := range replicas {
+			candidates[i] = dispatch.Candidate{Load: dispatch.Load{Writing: seen[i]}, Far: d != from}
+		}
+		i, expected := dispatch.Choose(engine, model, candidates, dispatch.Work{Prompt: 700}, enough, random.IntN)
+		loads[i]++
+		longest = max(longest, expected)
+		if from != 0 {
+			continue
+		}
+		if all++; replicas[i] == from {
+			near++
+		}
+	}
+	return near / all, longest
+}
+
 func TestChooseWithoutCandidates(t *testing.T) {
 	i, _ := dispatch.Choose(engine, model, nil, dispatch.Work{}, 0, rand.IntN)
 	require.Equal(t, -1, i)
