fix: a daemon that starts again reads its former heartbeat before its own replaces it

Now a daemon that does not start for the first time waits for that read, half a second at most. Ruled out: the links, which dial on for five seconds.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -150,6 +150,9 @@
 		c.takeDaemons(now, m)
 	}
 	c.dirty = c.dirty || !c.loaded[m.topic]
+	if m.topic == platform.TopicDaemons && !c.loaded[m.topic] {
+		close(c.gateway.acquainted)
+	}
 	c.loaded[m.topic] = true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	linkGroup     atomic.Pointer[task.Group]
 	retryMu       sync.Mutex
 	retries       map[string]*budget.Retries
+	// acquainted is closed when the heartbeats of the daemons have been read once.
+	acquainted chan struct{}
 	// beatNow asks for a heartbeat before the next one is due.
 	beatNow chan struct{}
 }
@@ -89,6 +91,7 @@
 		fresh:       newTransport(true),
 		retries:     make(map[string]*budget.Retries),
 		beatNow:     make(chan struct{}, 1),
+		acquainted:  make(chan struct{}),
 	}
 	g.boundsInForce.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(false)}}
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -24,6 +24,9 @@
 	peerTimeout = 3500 * time.Millisecond
 	// appendTimeout bounds the wait for a record to be taken.
 	appendTimeout = time.Second
+	// formerWait is how long a daemon that starts again waits to read the heartbeat of its
+	// life before, which its own replaces: a read of a slow store.
+	formerWait = 500 * time.Millisecond
 )
 
 // A heartbeat is what one daemon tells all others through the store.
@@ -48,6 +51,9 @@
 
 // runHeartbeats sends a heartbeat at each interval, and at once when asked to.
 func (g *Gateway) runHeartbeats(ctx context.Context) error {
+	if !g.settings.FirstRun {
+		g.awaitFormer(ctx)
+	}
 	for ctx.Err() == nil {
 		g.sendHeartbeat(ctx)
 		interval := max(heartbeatInterval, time.Second*time.Duration(g.view.Load().Daemons)/heartbeatsPerSecond)
@@ -65,6 +71,18 @@
 	return nil
 }
 
+// awaitFormer waits until the heartbeat of the life before has been read, or for as long as
+// others can wait for the first one of this life.
+func (g *Gateway) awaitFormer(ctx context.Context) {
+	timer := time.NewTimer(formerWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.acquainted:
+	}
+}
+
 // beat asks for a heartbeat now.
 func (g *Gateway) beat() {
 	select {
