fix: servers that answered nobody are doubted to be dead once their failure domain is back

The first member is listed again 0.4 s after the cut; the head is still unlisted and held for dead by a look of 2.2 s before, so that the member joined another replica while the head served its callers all the while. Now a server that is listed again after its entry lapsed voids what was found of its failure domain before, and members wait for two seconds and a bit, as long as an entry takes to come back, before they leave a head that is not listed. Before: TestDomainThatWasCutOff fails.

--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -197,9 +197,10 @@
 	}
 }
 
-// lookFirst is how long whoever leads has to find out whether a head that is not
-// listed lives, before its members are told to leave it.
-const lookFirst = 800 * time.Millisecond
+// lookFirst is how long whoever leads has to find out whether a head that is not listed
+// lives, before its members are told to leave it. An entry that lapsed is back within two
+// seconds once its server reaches the store, by the platform's pages.
+const lookFirst = 2200 * time.Millisecond
 
 // holdMargin is added to the time after which a head without members is broken:
 // for the way of the orders to leave.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -246,6 +246,9 @@
 			continue
 		}
 		s.Draining = s.Draining || c.gateway.board.leaves(s)
+		if c.servers.returns(s) {
+			c.doubtDead(s.FailureDomain)
+		}
 		c.dirty = c.servers.put(now, r.Offset, s, c.coldFor(s)) || c.dirty
 	}
 }
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,3 +112,38 @@
 		})
 	}
 }
+
+// TestDomainThatWasCutOff is the pattern of a failure domain that is cut off from the leader:
+// its servers answer nobody and their entries lapse. When the first is listed again, the
+// head of its replica must not count as gone, as it may serve all the while (TWO in
+// hunt 0556 of atelierweg-hq, seed 685478095225 of zone-cut-with-shift).
+func TestDomainThatWasCutOff(t *testing.T) {
+	head := site.Server{ID: "head", Born: 1, FailureDomain: "cut", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}
+	other := site.Server{ID: "other", Born: 1, FailureDomain: "sound"}
+	member := `{"service":"models","address":"a","zone":"cut","state":"ready","born":%d,"seq":9,"group":{"name":"m/1/1","epoch":1,"rank":1,"state":"ready"}}`
+	for _, tc := range []struct {
+		name string
+		key  string
+		want bool
+	}{
+		{"a_member_is_listed_again", "member", false},
+		{"a_new_server_comes", "new", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newControl()
+			c.leadership.dead, c.leadership.alive = make(map[string]deadServer), make(map[string]time.Duration)
+			c.servers.put(0, 1, head, 0)
+			c.servers.put(0, 2, site.Server{ID: "member", Born: 1, FailureDomain: "cut"}, 0)
+			c.takeProbe(time.Second, probed{server: head})
+			c.takeProbe(time.Second, probed{server: other})
+			c.takeRemoval(time.Second, relay.Record{Key: "head", Offset: 3})
+			c.takeRemoval(time.Second, relay.Record{Key: "member", Offset: 4})
+			c.takeServers(2*time.Second, feedPage{topic: platform.TopicServers, news: relay.News{
+				Records: []relay.Record{{Key: tc.key, Value: fmt.Appendf(nil, member, 1), Offset: 5}},
+			}})
+			_, dead := c.leadership.dead["head"]
+			require.Equal(t, tc.want, dead)
+			require.Contains(t, c.leadership.dead, "other")
+		})
+	}
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -59,8 +59,9 @@
 
 // A deadServer is a server that does not answer although it is listed.
 type deadServer struct {
-	born int64
-	at   time.Duration
+	born          int64
+	at            time.Duration
+	failureDomain string
 }
 
 // leadership is what the control state knows of this daemon's own lead.
@@ -448,7 +449,7 @@
 		c.dirty = c.dirty || known
 		return
 	}
-	c.leadership.dead[m.server.ID] = deadServer{born: m.server.Born, at: now}
+	c.leadership.dead[m.server.ID] = deadServer{born: m.server.Born, at: now, failureDomain: m.server.FailureDomain}
 	c.dirty = c.servers.forget(m.server.ID) || c.dirty
 	if !known {
 		c.dirty = true
@@ -457,6 +458,18 @@
 	}
 }
 
+// doubtDead forgets which servers of a failure domain answered nobody: another one whose entry
+// had lapsed is listed again, so that the whole of it may have been out of reach.
+func (c *control) doubtDead(failureDomain string) {
+	n := len(c.leadership.dead)
+	maps.DeleteFunc(c.leadership.dead, func(_ string, d deadServer) bool { return d.failureDomain == failureDomain })
+	if len(c.leadership.dead) != n {
+		c.dirty = true
+		c.gateway.logger.Info().Str("event", "deaths_doubted").Str("failure_domain", failureDomain).Int("servers", n-len(c.leadership.dead)).
+			Msg("a server is listed again: others of its failure domain may live as well")
+	}
+}
+
 // forgetDead forgets dead servers that have a new life or are still listed although
 // a silent one would have lapsed, and looks and answers that are too old to count.
 func (c *control) forgetDead(now time.Duration) {
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -125,6 +125,13 @@
 	return true
 }
 
+// returns returns whether s is a server whose entry had lapsed or was removed.
+func (r *roster) returns(s site.Server) bool {
+	e, known := r.entries[s.ID]
+	_, removed := r.removed[s.ID]
+	return known && e.goneAt != 0 || !known && removed
+}
+
 // same returns whether two entries say the same but for their sequence.
 func same(a, b site.Server) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Draining == b.Draining && a.Born == b.Born && a.Member == b.Member &&
