--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -150,6 +150,9 @@
 	// and one more attempt. Read by hundreds of daemons that start again together, the list
 	// would take the store seconds.
 	listFirst = 1500 * time.Millisecond
+	// fewDaemons is the number of daemons that may read the list of servers together when
+	// they start: as many as follow one hub.
+	fewDaemons = 30
 )
 
 // readsAtStart returns whether this daemon, which has had no news of a hub yet, reads topic
@@ -161,7 +164,8 @@
 	case g.settings.FirstRun:
 		return now-g.startedAt > hubsFirst
 	case topic == platform.TopicServers:
-		return now-g.startedAt > listFirst
+		view := g.view.Load()
+		return view.Acquainted && view.Daemons <= fewDaemons || now-g.startedAt > listFirst
 	}
 	return true
 }
--- /dev/null
+++ b/gateway/feed_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// TestReadsAtStart is the pattern of days that end with a loss of power everywhere: hundreds
+// of daemons start together and must not all read the list of servers, which is the largest
+// topic; where they are few, each is ready sooner by reading it.
+func TestReadsAtStart(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		firstRun bool
+		view     View
+		after    time.Duration
+		topic    string
+		want     bool
+	}{
+		{"heartbeats_at_once", false, View{}, 0, platform.TopicDaemons, true},
+		{"operators_at_once", false, View{}, 0, platform.TopicOperators, true},
+		{"heartbeats_at_the_first_run", true, View{}, 0, platform.TopicDaemons, true},
+		{"operators_at_the_first_run", true, View{}, time.Second, platform.TopicOperators, false},
+		{"operators_at_the_first_run_without_hubs", true, View{}, hubsFirst + 1, platform.TopicOperators, true},
+		{"list_before_others_are_known", false, View{Daemons: 1}, 0, platform.TopicServers, false},
+		{"list_among_few", false, View{Daemons: 9, Acquainted: true}, 0, platform.TopicServers, true},
+		{"list_among_many", false, View{Daemons: 295, Acquainted: true}, time.Second, platform.TopicServers, false},
+		{"list_among_many_without_hubs", false, View{Daemons: 295, Acquainted: true}, listFirst + 1, platform.TopicServers, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := New(site.Settings{FirstRun: tc.firstRun}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
+			g.view.Store(&tc.view)
+			require.Equal(t, tc.want, g.readsAtStart(tc.topic, g.startedAt+tc.after))
+		})
+	}
+}
