--- a/entry/callers.go
+++ b/entry/callers.go
@@ -74,7 +74,7 @@
 func (d *Daemon) authenticated(next func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		d.serving.Add(1)
-		defer d.serving.Done()
+		defer d.serving.Add(-1)
 		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 		var span trace.Span
 		ctx, span = d.tracer.Start(ctx, "entry "+r.Pattern, trace.WithSpanKind(trace.SpanKindServer))
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,7 +55,9 @@
 	crashes *crashes
 	cancels cancels
 	peers   peers
-	serving sync.WaitGroup
+	// serving counts the requests in flight. A planned stop looks at it while requests
+	// still come, which a wait group does not allow.
+	serving atomic.Int64
 	stopped chan struct{}
 }
 
@@ -136,21 +137,18 @@
 func (d *Daemon) drain() {
 	d.tell(control.Leave{})
 	d.tell(control.Tick{})
-	done := make(chan struct{})
 	// Callers that hold an old list of addresses are still told where to go.
 	time.Sleep(d.settings.Bounds.TickInterval)
-	go func() {
-		d.serving.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(d.settings.Limits.RequestTimeout):
-		d.monitor.Check(false, invariant.GracefulStop, "requests in flight at the end of a planned stop")
+	for end := time.Now().Add(d.settings.Limits.RequestTimeout); d.serving.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPoll)
 	}
-	d.monitor.Check(true, invariant.GracefulStop, "")
+	left := d.serving.Load()
+	d.monitor.Check(left == 0, invariant.GracefulStop, "%d requests in flight at the end of a planned stop", left)
 }
 
+// drainPoll is the time between looks at the requests in flight of a planned stop.
+const drainPoll = 20 * time.Millisecond
+
 // listen opens all listeners.
 func (d *Daemon) listen() ([]*server, error) {
 	l := d.settings.Listen
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -115,7 +115,7 @@
 // takeForward runs the rest of a request that a peer has forwarded.
 func (d *Daemon) takeForward(ctx context.Context, f forward, send func(forwarded) error) {
 	d.serving.Add(1)
-	defer d.serving.Done()
+	defer d.serving.Add(-1)
 	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier(f.Trace))
 	ctx, span := d.tracer.Start(ctx, "entry forwarded", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
