--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,8 @@
 	lastEventID string
 	lastEventAt time.Time
 	tried       []string
+	// endedWithoutEvents means that a server has ended its continuation of the stream without an event.
+	endedWithoutEvents bool
 }
 
 // serveStream handles a call to a model.
@@ -233,7 +235,7 @@
 		return answered, g.readFailure(c, resp)
 	}
 	if err = g.forwardEvents(s, a, resp); err != nil {
-		if ctx.Err() == nil {
+		if mayBeComplete := errors.Is(err, errNoEvent) && s.lastEventID != ""; ctx.Err() == nil && !mayBeComplete {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		g.handleLostAttempt(ctx, c, a, replica.Head)
@@ -294,6 +296,9 @@
 // if its connection was closed cleanly.
 var errPartialEvent = errors.New("stream ended in the middle of an event")
 
+// errNoEvent means that a stream ended before its first event.
+var errNoEvent = errors.New("stream ended without an event")
+
 // forwardEvents forwards the events of an attempt to the caller. It forwards complete events only,
 // so that the stream can be continued by another replica.
 func (g *Gateway) forwardEvents(s *stream, a *attempt, resp *http.Response) error {
@@ -313,12 +318,8 @@
 			}
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
-		if errors.Is(err, io.EOF) && len(buffer) > 0 {
-			return errPartialEvent
-		}
 		if errors.Is(err, io.EOF) {
-			s.sendHeaders(resp)
-			return nil
+			return s.end(a, resp, len(buffer))
 		}
 		if err != nil {
 			return err
@@ -326,6 +327,21 @@
 	}
 }
 
+// end ends s if the end of the body of a, with unread bytes after the last event, is the end of the
+// stream.
+func (s *stream) end(a *attempt, resp *http.Response, unread int) error {
+	if unread > 0 {
+		return errPartialEvent
+	}
+	if !a.started && !s.endedWithoutEvents {
+		// The server may have crashed. An empty continuation counts if another server agrees.
+		s.endedWithoutEvents = s.lastEventID != ""
+		return errNoEvent
+	}
+	s.sendHeaders(resp)
+	return nil
+}
+
 // writeEvents writes complete events to the caller.
 func (g *Gateway) writeEvents(s *stream, a *attempt, resp *http.Response, events []byte) error {
 	first := !a.started
