--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -341,8 +340,7 @@
 // show only whether they accept connections.
 func (g *Gateway) stillAlive(ctx context.Context, c *call, server site.Server) bool {
 	if c.service.Engine == nil {
-		dialer := net.Dialer{}
-		conn, err := dialer.DialContext(ctx, "tcp", server.Address)
+		conn, err := g.dialServer(ctx, "tcp", server.Address)
 		if err != nil {
 			return false
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 type Gateway struct {
 	// DroppedLines, if set, returns the number of log lines that were dropped.
 	DroppedLines func() int64
+	// DialServer, if set, replaces the dialer of connections to backend servers.
+	DialServer func(ctx context.Context, network, address string) (net.Conn, error)
 
 	settings    site.Settings
 	startedAt   time.Duration
@@ -85,25 +87,24 @@
 // New returns a gateway with the given settings.
 func New(s site.Settings, logger *log.Logger, tracer trace.Tracer) *Gateway {
 	g := &Gateway{
-		settings:           s,
-		startedAt:          clock.Boot(),
-		incarnation:        uuid.NewString(),
-		logger:             logger,
-		tracer:             tracer,
-		metrics:            newMetrics(),
-		links:              new(link.Counters),
-		peerClient:         &http.Client{Transport: newTransport(false)},
-		secret:             uuid.NewString(),
-		pooledTransport:    newTransport(false),
-		singleUseTransport: newTransport(true),
-		retries:            make(map[string]*budget.Retries),
-		heartbeatNow:       make(chan struct{}, 1),
-		statusNow:          make(chan struct{}, 1),
-		daemonsLoaded:      make(chan struct{}),
+		settings:      s,
+		startedAt:     clock.Boot(),
+		incarnation:   uuid.NewString(),
+		logger:        logger,
+		tracer:        tracer,
+		metrics:       newMetrics(),
+		links:         new(link.Counters),
+		peerClient:    &http.Client{Transport: newTransport(dialer().DialContext, false)},
+		secret:        uuid.NewString(),
+		retries:       make(map[string]*budget.Retries),
+		heartbeatNow:  make(chan struct{}, 1),
+		statusNow:     make(chan struct{}, 1),
+		daemonsLoaded: make(chan struct{}),
 	}
 	g.currentBounds.Store(&s.Bounds)
-	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(false)}}
-	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: newTransport(false), Timeout: orderTimeout}}
+	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
+	g.pooledTransport, g.singleUseTransport = newTransport(g.dialServer, false), newTransport(g.dialServer, true)
+	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: newTransport(g.dialServer, false), Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{OnViolation: func(p invariant.Name, message string) {
 		logger.Error().Str("event", "invariant_violated").Str("promise", string(p)).Msg(message)
 	}}
@@ -129,12 +130,29 @@
 	unackedTimeout = 2 * time.Second
 )
 
-// newTransport returns a transport to servers. With singleUse set, each connection carries one
-// request only, so that the transport never sends a request twice.
-func newTransport(singleUse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUnackedTimeout}
+// dialer returns the dialer of all connections to servers, the store and other daemons.
+func dialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUnackedTimeout}
+}
+
+// dialServer connects to a backend server.
+func (g *Gateway) dialServer(ctx context.Context, network, address string) (net.Conn, error) {
+	if g.DialServer == nil {
+		return dialer().DialContext(ctx, network, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return g.DialServer(ctx, network, address)
+}
+
+// A dialFunc connects to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newTransport returns a transport whose connections dial opens. With singleUse set, each connection
+// carries one request only, so that the transport never sends a request twice.
+func newTransport(dial dialFunc, singleUse bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
