--- a/gateway/board.go
+++ b/gateway/board.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/budget"
@@ -44,6 +45,8 @@
 // An attempt is one request in flight at a server.
 type attempt struct {
 	target string
+	// address is that of the server.
+	address string
 	// epoch identifies the replica in messages to peers; zero for servers of plain services.
 	epoch int64
 	work  dispatch.RequestSize
@@ -62,19 +65,39 @@
 	acquitted bool
 	// resentAfterCrash means that another server crashed under the request before.
 	resentAfterCrash bool
-	cancel           context.CancelCauseFunc
+	// around means that the attempt goes through another daemon.
+	around atomic.Bool
+	cancel context.CancelCauseFunc
+}
+
+// attemptKey is the key of an attempt in the context of its request.
+type attemptKey struct{}
+
+// withAttempt returns a context of the request that a sends.
+func withAttempt(ctx context.Context, a *attempt) context.Context {
+	return context.WithValue(ctx, attemptKey{}, a)
+}
+
+// attemptOf returns the attempt whose request has the context ctx, nil for orders and probes.
+func attemptOf(ctx context.Context) *attempt {
+	a, _ := ctx.Value(attemptKey{}).(*attempt)
+	return a
 }
 
 // A targetState is what this daemon observes of one replica or plain server.
 type targetState struct {
 	epoch       int64
+	address     string
 	attempts    map[*attempt]struct{}
 	lastEventAt time.Time
 	// meanPause is the mean pause between events of one stream.
 	meanPause    time.Duration
 	pace         dispatch.Pace
 	suspectUntil time.Time
-	coldBucket   budget.Bucket
+	// checking means that it is being found out whether the target or only this daemon's path to it
+	// has failed.
+	checking   bool
+	coldBucket budget.Bucket
 }
 
 // An attemptTracker tracks the requests that this daemon has in flight at each server. The zero
@@ -132,7 +155,7 @@
 		s.lastEventAt = a.sentAt
 	}
 	s.attempts[a] = struct{}{}
-	s.epoch = a.epoch
+	s.epoch, s.address = a.epoch, a.address
 	b.hadAttempt = true
 }
 
@@ -179,6 +202,28 @@
 	b.target(target).suspectUntil = time.Time{}
 }
 
+// clearSuspectAt allows new work for the target at address again.
+func (b *attemptTracker) clearSuspectAt(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.targets {
+		if s.address == address {
+			s.suspectUntil = time.Time{}
+		}
+	}
+}
+
+// endCheck records that the path to the target at address was checked.
+func (b *attemptTracker) endCheck(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.targets {
+		if s.address == address {
+			s.checking = false
+		}
+	}
+}
+
 // requestStarted counts a request of a caller as in flight.
 func (b *attemptTracker) requestStarted() {
 	b.mu.Lock()
@@ -267,7 +312,7 @@
 	defer b.mu.Unlock()
 	s := relay.Summary{Loads: make(map[int64]relay.ReplicaLoad), Demand: demand, Daemons: []uint64{daemonID(incarnation)}, Traffic: b.hadAttempt}
 	for _, target := range b.targets {
-		stalled := now.Before(target.suspectUntil)
+		stalled := now.Before(target.suspectUntil) && !target.checking
 		if target.epoch == 0 || len(target.attempts) == 0 && !stalled {
 			continue
 		}
@@ -315,10 +360,14 @@
 // runStallChecks cancels attempts whose replica has stalled, so that they are retried elsewhere.
 func (g *Gateway) runStallChecks(ctx context.Context) error {
 	for ctx.Err() == nil {
-		for _, target := range g.tracker.checkStalls(time.Now()) {
+		stalled, silent := g.tracker.checkStalls(time.Now(), g.paths.isLost)
+		for _, target := range stalled {
 			g.metrics.events.Add("stalls", 1)
 			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Msg("replica stalled; cancelling its attempts")
 		}
+		for _, address := range silent {
+			g.checkPath(address)
+		}
 		clock.Sleep(ctx, stallCheckInterval)
 	}
 	return nil
@@ -332,33 +381,47 @@
 	return min(max(stallPauseFactor*s.meanPause, minStallTimeout), maxStallTimeout)
 }
 
-// checkStalls cancels the attempts that have been silent for too long, and returns the targets that
-// are newly stalled: those that are silent to all daemons with work there.
-func (b *attemptTracker) checkStalls(now time.Time) []string {
+// checkStalls cancels the attempts that have been silent for too long. It returns the targets that are
+// newly stalled: those that are silent to all daemons with work there. It also returns the addresses of
+// those that are silent to this daemon, as it may have lost its paths to them, which isLost tells.
+func (b *attemptTracker) checkStalls(now time.Time, isLost func(address string) bool) (stalled, silent []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var stalled []string
 	for target, s := range b.targets {
 		if len(s.attempts) == 0 {
 			continue
 		}
-		limit := s.stallTimeout()
-		silent := min(now.Sub(s.lastEventAt), b.workAtPeers(s.epoch, now).SinceEvent) > limit
-		if silent && !now.Before(s.suspectUntil) {
-			stalled = append(stalled, target)
+		limit, lost := s.stallTimeout(), isLost(s.address)
+		own := now.Sub(s.lastEventAt)
+		all := min(own, b.workAtPeers(s.epoch, now).SinceEvent) > limit
+		if own > limit && s.address != "" {
+			silent = append(silent, s.address)
 		}
-		for a := range s.attempts {
-			if a.cancel == nil {
-				continue
-			}
-			pause := now.Sub(a.lastEventAt)
-			if silent && pause > limit || pause > eventTimeout {
-				a.cancel(errStalled)
-			}
+		if all && !lost && !now.Before(s.suspectUntil) {
+			stalled = append(stalled, target)
+			s.checking = s.address != ""
 		}
-		if silent {
+		s.cancelSilent(now, limit, all, lost)
+		if all && !lost {
 			s.suspectUntil = now.Add(suspectDuration)
 		}
 	}
-	return stalled
+	return stalled, silent
+}
+
+// cancelSilent cancels the attempts of s that have been silent for longer than limit, if the target is
+// silent to all daemons or the path to it is lost, and those that have been silent for longer than any
+// caller waits.
+func (s *targetState) cancelSilent(now time.Time, limit time.Duration, all, lost bool) {
+	for a := range s.attempts {
+		if a.cancel == nil {
+			continue
+		}
+		switch pause := now.Sub(a.lastEventAt); {
+		case lost && !a.around.Load() && pause > limit:
+			a.cancel(errPathLost)
+		case all && pause > limit, pause > eventTimeout:
+			a.cancel(errStalled)
+		}
+	}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -102,6 +102,8 @@
 		c.applyOrderResult(now, m)
 	case probeResult:
 		c.applyProbe(now, m)
+	case serverUnreached:
+		c.recordUnreached(now)
 	}
 	if c.dirty {
 		c.publish(now)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -307,6 +307,8 @@
 		found = g.probeAfterLoss(c, a, server)
 	case errors.Is(context.Cause(ctx), errConvictedPart):
 		found = "not_probed"
+	case g.paths.reachedAround(server.Address):
+		found = "path_lost"
 	default:
 		// The caller left, or the server was silent for too long.
 		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
@@ -331,6 +333,10 @@
 		}
 		return "lives"
 	}
+	if !g.ownLinksWork(context.Background(), server.Address) {
+		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
+		return "links_lost"
+	}
 	c.crashes++
 	g.recordCrash(crash, "")
 	return "crashed"
@@ -340,14 +346,7 @@
 // show only whether they accept connections.
 func (g *Gateway) stillAlive(ctx context.Context, c *call, server site.Server) bool {
 	if c.service.Engine == nil {
-		conn, err := g.dialServer(ctx, "tcp", server.Address)
-		if err != nil {
-			return false
-		}
-		g.metrics.events.Add("connections", 1)
-		// Nothing was sent, so an error does not matter.
-		_ = conn.Close()
-		return true
+		return g.testPath(ctx, server.Address) || g.testAround(ctx, server.Address)
 	}
 	g.metrics.events.Add("probes", 1)
 	now, err := g.engines.Report(ctx, server)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -89,7 +89,7 @@
 		err  error
 	)
 	if resp, err = transport.RoundTrip(req.WithContext(ctx)); err != nil {
-		if !written.Load() {
+		if !written.Load() && !errors.Is(err, errDetourBroke) {
 			return nil, notRun, err
 		}
 		return nil, lost, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,8 +48,11 @@
 	// previousSecret is the secret of the previous incarnation of this daemon. Peers use it until
 	// they have read the new heartbeat.
 	previousSecret     atomic.Pointer[string]
-	pooledTransport    *http.Transport
-	singleUseTransport *http.Transport
+	pooledTransport    *serverTransport
+	singleUseTransport *serverTransport
+	paths              pathState
+	// detours is the number of requests that are being passed on for other daemons.
+	detours atomic.Int64
 
 	system *actor.ActorSystem
 	pid    *actor.PID
@@ -103,8 +106,10 @@
 	}
 	g.currentBounds.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
-	g.pooledTransport, g.singleUseTransport = newTransport(g.dialServer, false), newTransport(g.dialServer, true)
-	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: newTransport(g.dialServer, false), Timeout: orderTimeout}}
+	g.singleUseTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, true)}
+	g.pooledTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, false)}
+	orders := &serverTransport{gateway: g, direct: newTransport(g.dialServer, false)}
+	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: orders, Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{OnViolation: func(p invariant.Name, message string) {
 		logger.Error().Str("event", "invariant_violated").Str("promise", string(p)).Msg(message)
 	}}
@@ -113,9 +118,12 @@
 }
 
 const (
-	// dialTimeout bounds connecting to a backend server or the store: many round trips within a
+	// dialTimeout bounds connecting to the store or to another daemon: many round trips within a
 	// region.
 	dialTimeout = 400 * time.Millisecond
+	// serverDialTimeout is the same for a backend server. It is shorter, as another daemon may still
+	// reach the server.
+	serverDialTimeout = 150 * time.Millisecond
 	// idleConnTimeout is how long an unused connection is kept.
 	idleConnTimeout = 30 * time.Second
 	// maxIdleConnsPerServer is the number of unused connections kept to one server: as many as one
@@ -135,16 +143,6 @@
 	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUnackedTimeout}
 }
 
-// dialServer connects to a backend server.
-func (g *Gateway) dialServer(ctx context.Context, network, address string) (net.Conn, error) {
-	if g.DialServer == nil {
-		return dialer().DialContext(ctx, network, address)
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	return g.DialServer(ctx, network, address)
-}
-
 // A dialFunc connects to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -241,6 +239,7 @@
 	g.tasks.Go(ctx, "heartbeats", g.runHeartbeats)
 	g.tasks.Go(ctx, "watch", g.runStallChecks)
 	g.tasks.Go(ctx, "peers", g.runPeers)
+	g.tasks.Go(ctx, "paths", g.runPathTests)
 }
 
 // Monitor returns the invariant monitor of this daemon.
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -52,6 +52,7 @@
 	FindingsAt int64                `cbor:"13,keyasint,omitempty"`
 	// PartFindings are parts of prompts that crash servers, as of FindingsAt.
 	PartFindings []quarantine.PartFinding `cbor:"14,keyasint,omitempty"`
+	Region       string                   `cbor:"15,keyasint,omitempty"`
 }
 
 // runHeartbeats sends a heartbeat at each interval, and at once on request.
@@ -102,7 +103,7 @@
 func (g *Gateway) sendHeartbeat(ctx context.Context) {
 	g.tracker.dropIdleTargets(time.Now())
 	h := heartbeat{
-		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, FailureDomain: g.settings.FailureDomain,
+		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, FailureDomain: g.settings.FailureDomain, Region: g.settings.Region,
 		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, HadTraffic: g.tracker.hadTraffic(), CPUShare: g.settings.Limits.CPUShare,
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
--- /dev/null
+++ b/gateway/helper.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
+)
+
+const (
+	// maxDetours bounds the requests that a daemon passes on for others at once.
+	maxDetours = 256
+	// detourChunkBytes is the size of the largest part of a body that is passed on.
+	detourChunkBytes = 32 << 10
+)
+
+// serveDetour sends a request of another daemon to its server, once and on this daemon's own path, and
+// passes the answer back.
+func (g *Gateway) serveDetour(ctx context.Context, q detourRequest, send func(detourPart) error) {
+	arrived := clock.Boot()
+	if send(detourPart{Received: true}) != nil {
+		return
+	}
+	server := g.view.Load().Servers[q.Address]
+	reason := g.refusesDetour(q, server)
+	var resp *http.Response
+	if reason == notRefused {
+		g.tracker.requestStarted()
+		defer g.tracker.requestEnded()
+		g.detours.Add(1)
+		defer g.detours.Add(-1)
+		if q.Method == "" {
+			if !g.testPath(ctx, q.Address) {
+				reason = g.refusalOf(ctx, q.Address, nil)
+			}
+		} else if clock.Boot()-arrived > q.SendWithin {
+			// This daemon was paused.
+			reason = refusedBusy
+		} else {
+			resp, reason = g.passOn(ctx, q)
+		}
+	}
+	if reason != notRefused {
+		g.metrics.events.Add("detours_refused", 1)
+		// An error means that the other daemon has given up.
+		_ = send(detourPart{Refusal: reason})
+		return
+	}
+	g.metrics.events.Add("detours_served", 1)
+	if resp == nil {
+		_ = send(detourPart{End: true})
+		return
+	}
+	defer resp.Body.Close()
+	if q.Call {
+		g.recordNotice(&call{request: platform.Request{Attempt: platform.AttemptID(q.Header)}}, server, platform.DecodeResponse(resp.StatusCode, resp.Header).Notice)
+	}
+	if send(detourPart{Status: resp.StatusCode, Header: resp.Header}) == nil {
+		g.passBack(resp, send)
+	}
+}
+
+// refusesDetour returns why a request must not be passed on to server.
+func (g *Gateway) refusesDetour(q detourRequest, server site.Server) detourRefusal {
+	switch {
+	case g.leaving.Load() || g.detours.Load() >= maxDetours:
+		return refusedBusy
+	case server.ID == "" || server.ID != q.Server:
+		return refusedServer
+	case g.route(q.Address) != detour.Direct:
+		return refusedLinks
+	}
+	if !q.Call {
+		return notRefused
+	}
+	if server.Draining || g.view.Load().DomainsOut[server.FailureDomain] || g.tracker.isLeaving(server) || g.tracker.isBackingOff(server) {
+		return refusedServer
+	}
+	return notRefused
+}
+
+// passOn sends q to its server. If it returns a refusal, q was not sent.
+func (g *Gateway) passOn(ctx context.Context, q detourRequest) (*http.Response, detourRefusal) {
+	req := &http.Request{
+		Method: q.Method, URL: &url.URL{Scheme: "http", Host: q.Address, Opaque: q.Target}, Host: q.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
+		Body: singleUseBody{bytes.NewReader(q.Body)},
+	}
+	transport := g.pooledTransport.direct
+	if q.SingleUse {
+		transport = g.singleUseTransport.direct
+	}
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	switch {
+	case err == nil:
+		return resp, notRefused
+	case isDialError(err):
+		return nil, g.refusalOf(ctx, q.Address, err)
+	}
+	// The connection broke after the request was sent. Closing the link tells the other daemon that
+	// the request may have run.
+	panic(http.ErrAbortHandler)
+}
+
+// refusalOf returns the refusal of a request whose server this daemon could not connect to with err.
+func (g *Gateway) refusalOf(ctx context.Context, address string, err error) detourRefusal {
+	switch {
+	case !g.ownLinksWork(ctx, address):
+		return refusedLinks
+	case isRefused(err):
+		return refusedAbsent
+	}
+	return refusedUnreachable
+}
+
+// passBack sends the body of resp in parts. It sends no end if the body breaks off, so that the link is
+// closed without one.
+func (g *Gateway) passBack(resp *http.Response, send func(detourPart) error) {
+	buffer := make([]byte, detourChunkBytes)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 && send(detourPart{Body: buffer[:n]}) != nil {
+			return
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			_ = send(detourPart{End: true})
+			return
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -49,8 +49,14 @@
 	order  formation.Order
 	answer formation.Answer
 	term   int64
+	// unreached means that no daemon reaches the server.
+	unreached bool
 }
 
+// A serverUnreached reports that a server did not answer a probe and that this daemon reaches no other
+// server either.
+type serverUnreached struct{}
+
 // A probeResult reports whether a server that may be dead answered this daemon's probes.
 type probeResult struct {
 	server   site.Server
@@ -76,6 +82,10 @@
 	callPending bool
 	nextCallAt  time.Duration
 	term        int64
+	// unreachedSince is when this daemon first failed to reach a server, on any path, since a server
+	// last answered it; zero if none did. isolatedUntil is until when it claims no term for that.
+	unreachedSince time.Duration
+	isolatedUntil  time.Duration
 	// nextFleetLogAt is when the fleet is logged next.
 	nextFleetLogAt time.Duration
 	planner        *formation.Planner
@@ -162,7 +172,7 @@
 			c.claimTerm(end)
 		}
 	}
-	if c.gateway.leaving.Load() {
+	if c.gateway.leaving.Load() || c.isIsolated(now) {
 		l.candidate.Resign()
 	}
 	term, leads := l.candidate.Leads(now)
@@ -181,11 +191,41 @@
 	}
 }
 
-// eligible returns whether this daemon may claim a term: readers may, as they are the first to see
-// changes of the fleet, and so may any daemon if no reader has led for a while.
+const (
+	// isolationTimeout is how long the orders and probes of a leader may reach no server before it
+	// resigns, so that a daemon leads that reaches them.
+	isolationTimeout = 1500 * time.Millisecond
+	// isolationPause is how long it claims no term afterwards.
+	isolationPause = 5 * time.Second
+)
+
+// isIsolated returns whether this daemon leads although it reaches no server on any path, and keeps it
+// from claiming a term for a while.
+func (c *controller) isIsolated(now time.Duration) bool {
+	l := &c.leadership
+	if l.unreachedSince == 0 || now-l.unreachedSince < isolationTimeout || !c.isLeading(now) {
+		return false
+	}
+	l.unreachedSince, l.isolatedUntil = 0, now+isolationPause
+	c.gateway.logger.Warn().Str("event", "leader_isolated").Int64("term", l.term).Msg("this daemon reaches no server on any path; it stops leading")
+	return true
+}
+
+// recordUnreached records that this daemon did not reach a server on any path.
+func (c *controller) recordUnreached(now time.Duration) {
+	if c.leadership.unreachedSince == 0 {
+		c.leadership.unreachedSince = now
+	}
+}
+
+// eligible returns whether this daemon may claim a term: readers with paths to the servers may, as they
+// are the first to see changes of the fleet, and so may any daemon if none of them has led for a while.
 func (c *controller) eligible() bool {
 	l := &c.leadership
-	return c.gateway.isReader() || l.heartbeatsReadAt-max(l.candidate.LeaderSeenAt(), c.gateway.startedAt) > 2*tenureTimeouts.ElectionTimeout
+	if clock.Boot() < l.isolatedUntil {
+		return false
+	}
+	return c.gateway.isReader() && !c.gateway.paths.linksLost() || l.heartbeatsReadAt-max(l.candidate.LeaderSeenAt(), c.gateway.startedAt) > 2*tenureTimeouts.ElectionTimeout
 }
 
 // isReader returns whether this daemon reads the store for others.
@@ -332,7 +372,10 @@
 			line = line.Err(err)
 		}
 		line.Msg("order sent to server")
-		g.enqueue(orderResult{order: o, answer: answer, term: term})
+		if errors.Is(err, context.DeadlineExceeded) {
+			g.checkPath(o.Address)
+		}
+		g.enqueue(orderResult{order: o, answer: answer, term: term, unreached: errors.Is(err, errNoPath)})
 		return nil
 	})
 }
@@ -341,6 +384,11 @@
 // orders under it.
 func (c *controller) applyOrderResult(now time.Duration, m orderResult) {
 	l := &c.leadership
+	if m.unreached {
+		c.recordUnreached(now)
+	} else if m.answer != formation.Unknown {
+		l.unreachedSince = 0
+	}
 	if l.planner == nil || m.term != l.term {
 		return
 	}
@@ -401,6 +449,11 @@
 			if !answered {
 				// Other hubs probe for just as long, and their results may still be in flight.
 				clock.Sleep(ctx, peerProbeMargin)
+				if !g.ownLinksWork(ctx, s.Address) {
+					g.logger.Info().Str("event", "probe_ignored").Str("server", s.ID).Msg("this daemon reaches no server; the probe says nothing")
+					g.enqueue(serverUnreached{})
+					return nil
+				}
 			}
 			g.enqueue(probeResult{server: s, answered: answered})
 			return nil
@@ -448,6 +501,9 @@
 func (c *controller) applyProbe(now time.Duration, m probeResult) {
 	_, known := c.leadership.dead[m.server.ID]
 	at, alive := c.leadership.aliveAt[m.server.ID]
+	if m.answered {
+		c.leadership.unreachedSince = 0
+	}
 	if m.answered || alive && now-at < aliveTTL {
 		delete(c.leadership.dead, m.server.ID)
 		c.dirty = c.dirty || known
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -103,6 +103,8 @@
 	topics        map[string]*relay.Topic
 	peerSummaries map[string]peerSummary
 	senders       map[string]*peerSender
+	// exchangers are the links for detours, by incarnation.
+	exchangers map[string]*link.Exchanger[detourRequest, detourPart]
 	// lastSent holds the last update that was sent, by follower and topic.
 	lastSent map[string]sentUpdate
 	// hub is the front address of the hub that this daemon follows, followedSince is when it turned
@@ -127,16 +129,23 @@
 // peerHandler handles the messages of other daemons.
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	current := link.Accept(g.secret, g.links, g.handlePeerMessage)
-	mux.HandleFunc(link.Path, func(w http.ResponseWriter, r *http.Request) {
+	mux.Handle(link.Path, g.withPeerSecret(func(secret string) http.Handler { return link.Accept(secret, g.links, g.handlePeerMessage) }))
+	mux.Handle(detourPath, g.withPeerSecret(func(secret string) http.Handler { return link.AcceptExchanges(secret, g.links, g.serveDetour) }))
+	return mux
+}
+
+// withPeerSecret returns a handler for peers that present the secret of this incarnation or, until they
+// have read its heartbeat, of the previous one.
+func (g *Gateway) withPeerSecret(handler func(secret string) http.Handler) http.Handler {
+	current := handler(g.secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if former := g.previousSecret.Load(); former != nil && link.Authorised(r, *former) {
 			g.metrics.events.Add("peers_by_former_heartbeat", 1)
-			link.Accept(*former, g.links, g.handlePeerMessage).ServeHTTP(w, r)
+			handler(*former).ServeHTTP(w, r)
 			return
 		}
 		current.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 // runPeers sends the work of this daemon to its hub, or as a hub to the other hubs.
@@ -341,6 +350,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	now := clock.Boot()
+	ps.closeIdleExchangers(g.view.Load())
 	for incarnation, s := range ps.senders {
 		if now-s.lastUsed > senderIdleTimeout {
 			s.cancel()
@@ -364,6 +374,9 @@
 	for _, s := range ps.senders {
 		s.cancel()
 	}
+	for _, e := range ps.exchangers {
+		e.Close()
+	}
 	ps.senders = nil
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
@@ -111,11 +112,14 @@
 		if slices.Contains(tried, s.ID) || !g.tracker.admitsWork(s, &backoff) {
 			continue
 		}
-		state := g.tracker.target(s.ID)
+		state, route := g.tracker.target(s.ID), g.peekRoute(s.Address)
+		if route == detour.Closed {
+			continue
+		}
 		if !g.admitsCold(state, s, servers[i].ColdUntil, false) {
 			continue
 		}
-		key := [3]int{boolToInt(now.Before(state.suspectUntil)), len(state.attempts), boolToInt(s.FailureDomain != g.settings.FailureDomain)}
+		key := [3]int{boolToInt(now.Before(state.suspectUntil)), len(state.attempts), boolToInt(s.FailureDomain != g.settings.FailureDomain || route == detour.Around)}
 		if !found || cmp.Or(cmp.Compare(key[0], bestKey[0]), cmp.Compare(key[1], bestKey[1]), cmp.Compare(key[2], bestKey[2])) < 0 {
 			best, bestKey, found = servers[i], key, true
 		}
@@ -145,13 +149,16 @@
 		ctx, cancel = context.WithTimeout(ctx, plainAttemptTimeout)
 		defer cancel()
 	}
-	a := &attempt{target: server.ID, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0}
+	a := &attempt{target: server.ID, address: server.Address, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0}
 	a.lastEventAt = a.sentAt
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
-	resp, s, err := g.send(ctx, c, server, "")
+	resp, s, err := g.send(withAttempt(ctx, a), c, server, "")
 	if s != answered {
-		if !errors.Is(err, errNotRun) {
+		if errors.Is(err, context.DeadlineExceeded) {
+			g.checkPath(server.Address)
+		}
+		if !errors.Is(err, errNotRun) && !errors.Is(err, errNoPath) && !errors.Is(err, errDetourBroke) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		if s == lost {
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -21,7 +21,9 @@
 	c.addDaemons(v)
 	if c.configuration != nil {
 		listed := c.servers.all()
+		v.Servers = make(map[string]site.Server, len(listed))
 		for _, s := range listed {
+			v.Servers[s.server.Address] = s.server
 			c.addPlainServer(v, s)
 		}
 		c.addReplicas(now, v, listed)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
@@ -118,13 +119,14 @@
 	)
 	for _, r := range view.Replicas[model.Name] {
 		state := b.target(r.Name)
-		if slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(state, r.Head, r.ColdUntil, false) {
+		route := g.peekRoute(r.Head.Address)
+		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(state, r.Head, r.ColdUntil, false) {
 			continue
 		}
 		other := b.workAtPeers(r.Epoch, now)
 		replicas, paces = append(replicas, r), append(paces, state.pace)
 		candidates = append(candidates, dispatch.Candidate{
-			Load: state.load().Add(other.Load), Remote: r.Head.FailureDomain != g.settings.FailureDomain,
+			Load: state.load().Add(other.Load), Remote: r.Head.FailureDomain != g.settings.FailureDomain || route == detour.Around,
 			SinceEvent: timeSinceEvent(state, other, now),
 		})
 	}
@@ -208,7 +210,7 @@
 	defer cancel(nil)
 	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
 	defer span.End()
-	a := &attempt{target: replica.Name, epoch: replica.Epoch, work: c.request.Size, engine: c.service.Engine, model: replica.Model, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0, cancel: cancel}
+	a := &attempt{target: replica.Name, address: replica.Head.Address, epoch: replica.Epoch, work: c.request.Size, engine: c.service.Engine, model: replica.Model, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0, cancel: cancel}
 	if c.firstEventDelay == 0 {
 		a.parts = c.parts
 	}
@@ -216,13 +218,14 @@
 	g.checkDispatch(replica)
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
-	resp, result, err := g.send(ctx, c, replica.Head, s.lastEventID)
+	resp, result, err := g.send(withAttempt(ctx, a), c, replica.Head, s.lastEventID)
 	if result != notRun {
 		c.ran++
 	}
 	if result != answered {
 		cause := context.Cause(ctx)
-		if !errors.Is(err, errWrongAttempt) && !errors.Is(cause, context.Canceled) && !errors.Is(cause, errConvictedPart) && !g.tracker.isBackingOff(replica.Head) {
+		if !errors.Is(err, errWrongAttempt) && !errors.Is(err, errNoPath) && !errors.Is(err, errDetourBroke) && !errors.Is(cause, context.Canceled) &&
+			!errors.Is(cause, errConvictedPart) && !errors.Is(cause, errPathLost) && !g.tracker.isBackingOff(replica.Head) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		if result == lost {
@@ -235,7 +238,8 @@
 		return answered, g.readFailure(c, resp)
 	}
 	if err = g.forwardEvents(s, a, resp); err != nil {
-		if mayBeComplete := errors.Is(err, errNoEvent) && s.lastEventID != ""; ctx.Err() == nil && !mayBeComplete {
+		mayBeComplete := errors.Is(err, errNoEvent) && s.lastEventID != ""
+		if ctx.Err() == nil && !mayBeComplete && !errors.Is(err, errDetourBroke) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		g.handleLostAttempt(ctx, c, a, replica.Head)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -41,6 +41,8 @@
 	OtherDomainEpochs map[int64]bool
 	// PlainServers holds the servers of services without an engine, by service.
 	PlainServers map[string][]PlainServer
+	// Servers holds all listed servers, by address.
+	Servers map[string]site.Server
 	// Addresses are the front addresses of the daemons that callers may use.
 	Addresses []string
 	// Fronts holds the front addresses of all known daemons.
--- a/state/site/daemon.go
+++ b/state/site/daemon.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	Daemon        string
 	FailureDomain string
+	// Region is where requests may be passed on to other daemons.
+	Region string
 	// Front is the listen address for callers, Ready for readiness checks, Directory for lookups of
 	// daemon addresses, Metrics for counters. There is no listener for an empty address.
 	Front     string
