--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -44,7 +44,8 @@
 }
 
 // A detourPart is one message of the answer to a detourRequest: first one with Received, then either
-// one with Refusal, or one with the status and the header, the parts of the body, and one with End.
+// one with Refusal, or one with the status and the header, the parts of the body, and one with End. One
+// with Broken may come in place of each of the last three.
 type detourPart struct {
 	Received bool `cbor:"1,keyasint,omitempty"`
 	// Refusal is why the request was not sent and will not be.
@@ -52,8 +53,9 @@
 	Status  int           `cbor:"3,keyasint,omitempty"`
 	Header  http.Header   `cbor:"4,keyasint,omitempty"`
 	Body    []byte        `cbor:"5,keyasint,omitempty"`
-	// End means that the answer of the server is complete.
-	End bool `cbor:"6,keyasint,omitempty"`
+	// End means that the answer of the server is complete, Broken that it is lost or broke off.
+	End    bool `cbor:"6,keyasint,omitempty"`
+	Broken bool `cbor:"7,keyasint,omitempty"`
 }
 
 // A detourRefusal is why a daemon does not pass on a request.
@@ -92,8 +94,16 @@
 	errNoPath = errors.New("no path to the server")
 	// errDetourBroke means that a request was passed to another daemon and its answer was lost.
 	errDetourBroke = errors.New("detour broke")
+	// errAnswerLost is an errDetourBroke where the other daemon says that the server's connection broke.
+	errAnswerLost = fmt.Errorf("%w: connection to the server broke", errDetourBroke)
 )
 
+// isHelperLost returns whether err means that a request was passed to another daemon which has not
+// answered since.
+func isHelperLost(err error) bool {
+	return errors.Is(err, errDetourBroke) && !errors.Is(err, errAnswerLost)
+}
+
 // A helperRefusedError means that a daemon did not pass on a request.
 type helperRefusedError struct{ reason detourRefusal }
 
@@ -201,7 +211,7 @@
 			return x, part, nil
 		}
 		var refused *helperRefusedError
-		if last = err; errors.As(err, &refused) && (refused.reason == refusedServer || refused.reason == refusedAbsent || refused.reason == refusedUnreachable) {
+		if last = err; errors.As(err, &refused) && (refused.reason == refusedServer || refused.reason == refusedAbsent || refused.reason == refusedUnreachable) || errors.Is(err, errAnswerLost) {
 			// The daemon's own links work: others are no better.
 			break
 		}
@@ -238,6 +248,9 @@
 	case err != nil:
 		x.Abort()
 		return nil, detourPart{}, fmt.Errorf("%w: %w", errDetourBroke, err)
+	case part.Broken:
+		x.End()
+		return nil, detourPart{}, errAnswerLost
 	case part.Refusal != notRefused:
 		x.End()
 		return nil, detourPart{}, &helperRefusedError{reason: part.Refusal}
@@ -278,10 +291,13 @@
 		if err != nil {
 			return 0, fmt.Errorf("%w: %w", errDetourBroke, err)
 		}
-		b.unread, b.ended = part.Body, part.End
+		b.unread, b.ended = part.Body, part.End || part.Broken
 		if b.ended {
 			b.exchange.End()
 		}
+		if part.Broken {
+			return 0, errAnswerLost
+		}
 	}
 	n := copy(p, b.unread)
 	b.unread = b.unread[n:]
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -30,7 +30,10 @@
 	}
 	server := g.view.Load().Servers[q.Address]
 	reason := g.refusesDetour(q, server)
-	var resp *http.Response
+	var (
+		resp *http.Response
+		err  error
+	)
 	if reason == notRefused {
 		g.tracker.requestStarted()
 		defer g.tracker.requestEnded()
@@ -44,7 +47,7 @@
 			// This daemon was paused.
 			reason = refusedBusy
 		} else {
-			resp, reason = g.passOn(ctx, q)
+			resp, reason, err = g.passOn(ctx, q)
 		}
 	}
 	if reason != notRefused {
@@ -55,7 +58,7 @@
 	}
 	g.metrics.events.Add("detours_served", 1)
 	if resp == nil {
-		_ = send(detourPart{End: true})
+		_ = send(detourPart{End: err == nil, Broken: err != nil})
 		return
 	}
 	defer resp.Body.Close()
@@ -86,8 +89,8 @@
 	return notRefused
 }
 
-// passOn sends q to its server. If it returns a refusal, q was not sent.
-func (g *Gateway) passOn(ctx context.Context, q detourRequest) (*http.Response, detourRefusal) {
+// passOn sends q to its server. If it returns a refusal, q was not sent; after an error it may have run.
+func (g *Gateway) passOn(ctx context.Context, q detourRequest) (*http.Response, detourRefusal, error) {
 	req := &http.Request{
 		Method: q.Method, URL: &url.URL{Scheme: "http", Host: q.Address, Opaque: q.Target}, Host: q.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
@@ -98,15 +101,10 @@
 		transport = g.singleUseTransport.direct
 	}
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
-	switch {
-	case err == nil:
-		return resp, notRefused
-	case isDialError(err):
-		return nil, g.refusalOf(ctx, q.Address, err)
+	if err != nil && isDialError(err) {
+		return nil, g.refusalOf(ctx, q.Address, err), nil
 	}
-	// The connection broke after the request was sent. Closing the link tells the other daemon that
-	// the request may have run.
-	panic(http.ErrAbortHandler)
+	return resp, notRefused, err
 }
 
 // refusalOf returns the refusal of a request whose server this daemon could not connect to with err.
@@ -120,8 +118,7 @@
 	return refusedUnreachable
 }
 
-// passBack sends the body of resp in parts. It sends no end if the body breaks off, so that the link is
-// closed without one.
+// passBack sends the body of resp in parts, and then whether it is complete.
 func (g *Gateway) passBack(resp *http.Response, send func(detourPart) error) {
 	buffer := make([]byte, detourChunkBytes)
 	for {
@@ -129,13 +126,10 @@
 		if n > 0 && send(detourPart{Body: buffer[:n]}) != nil {
 			return
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			_ = send(detourPart{End: true})
+		if err != nil {
+			complete := errors.Is(err, io.EOF)
+			_ = send(detourPart{End: complete, Broken: !complete})
 			return
-		default:
-			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -224,7 +224,7 @@
 	}
 	if result != answered {
 		cause := context.Cause(ctx)
-		if !errors.Is(err, errWrongAttempt) && !errors.Is(err, errNoPath) && !errors.Is(err, errDetourBroke) && !errors.Is(cause, context.Canceled) &&
+		if !errors.Is(err, errWrongAttempt) && !errors.Is(err, errNoPath) && !isHelperLost(err) && !errors.Is(cause, context.Canceled) &&
 			!errors.Is(cause, errConvictedPart) && !errors.Is(cause, errPathLost) && !g.tracker.isBackingOff(replica.Head) {
 			g.tracker.markSuspect(a, time.Now())
 		}
@@ -239,7 +239,7 @@
 	}
 	if err = g.forwardEvents(s, a, resp); err != nil {
 		mayBeComplete := errors.Is(err, errNoEvent) && s.lastEventID != ""
-		if ctx.Err() == nil && !mayBeComplete && !errors.Is(err, errDetourBroke) {
+		if ctx.Err() == nil && !mayBeComplete && !isHelperLost(err) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		g.handleLostAttempt(ctx, c, a, replica.Head)
