--- a/coordination/detour/paths.go
+++ b/coordination/detour/paths.go
@@ -16,7 +16,7 @@
 	relapseWindow   = 10 * time.Second
 	// closedInterval is how long a server that neither this daemon nor another one reaches gets no
 	// requests. It doubles each time, up to maxClosedInterval.
-	closedInterval    = 300 * time.Millisecond
+	closedInterval    = 600 * time.Millisecond
 	maxClosedInterval = 2400 * time.Millisecond
 	// minLostPaths is the number of lost paths in a failure domain from which the other paths there
 	// are presumed lost as well, unless one has worked since.
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -281,6 +281,10 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// isUnreached returns whether err means that a server was not reached. Such a server gets no requests for
+// a while by what is known of the paths to it.
+func isUnreached(err error) bool { return errors.Is(err, errNoPath) || isDialError(err) }
+
 // helperCandidates returns the other daemons that may reach servers.
 func (g *Gateway) helperCandidates(except []string) []detour.Helper {
 	var out []detour.Helper
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -158,7 +158,7 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			g.checkPath(server.Address)
 		}
-		if !errors.Is(err, errNotRun) && !errors.Is(err, errNoPath) && !isHelperLost(err) {
+		if !errors.Is(err, errNotRun) && !isUnreached(err) && !isHelperLost(err) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		if s == lost {
