--- a/coordination/detour/detour_test.go
+++ b/coordination/detour/detour_test.go
@@ -174,4 +174,8 @@
 		h.Pause(3*time.Second, c.Name, "south")
 	}
 	require.Empty(t, choose(&h, 3*time.Second))
+	candidates = []detour.Helper{{Name: "a", FailureDomain: "north", Leaving: true}, {Name: "b", FailureDomain: "west"}}
+	require.Equal(t, map[string]bool{"b": true}, choose(&h, 5*time.Second))
+	h.Pause(5*time.Second, "b", "south")
+	require.Equal(t, map[string]bool{"a": true}, choose(&h, 5*time.Second), "a leaving daemon is better than none")
 }
--- a/coordination/detour/helpers.go
+++ b/coordination/detour/helpers.go
@@ -21,6 +21,8 @@
 type Helper struct {
 	Name          string
 	FailureDomain string
+	// Leaving means that it is about to stop.
+	Leaving bool
 }
 
 // Helpers chooses the daemons that carry requests to servers whose paths this daemon has lost. The
@@ -42,8 +44,8 @@
 }
 
 // Choose returns one of candidates to reach s, or false if none is left. self is the daemon itself.
-// Helpers in the failure domain of either end come first, as others add a crossing. random returns a
-// number below its argument.
+// Helpers in the failure domain of either end come first, as others add a crossing, and those that are
+// leaving only if there is no other. random returns a number below its argument.
 func (h *Helpers) Choose(now time.Duration, self Helper, s Server, candidates []Helper, random func(int) int) (Helper, bool) {
 	able := slices.DeleteFunc(slices.Clone(candidates), func(c Helper) bool {
 		return c.Name == self.Name || now < h.pausedUntil[helperFor{c.Name, s.FailureDomain}]
@@ -51,6 +53,9 @@
 	if len(able) == 0 {
 		return Helper{}, false
 	}
+	if staying := slices.DeleteFunc(slices.Clone(able), func(c Helper) bool { return c.Leaving }); len(staying) > 0 {
+		able = staying
+	}
 	far := func(c Helper) int {
 		if c.FailureDomain == self.FailureDomain || c.FailureDomain == s.FailureDomain {
 			return 0
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -73,7 +73,7 @@
 // refusesDetour returns why a request must not be passed on to server.
 func (g *Gateway) refusesDetour(q detourRequest, server site.Server) detourRefusal {
 	switch {
-	case g.leaving.Load() || g.detours.Load() >= maxDetours:
+	case !g.acceptsRequests() || g.detours.Load() >= maxDetours:
 		return refusedBusy
 	case server.ID == "" || server.ID != q.Server:
 		return refusedServer
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -290,8 +290,8 @@
 	var out []detour.Helper
 	for front, incarnation := range g.view.Load().IncarnationByFront {
 		h := g.view.Load().Peers[incarnation]
-		if h.Ready && !h.Leaving && h.Peer != "" && h.Region == g.settings.Region && !slices.Contains(except, front) {
-			out = append(out, detour.Helper{Name: front, FailureDomain: h.FailureDomain})
+		if (h.Ready || h.Leaving) && h.Peer != "" && h.Region == g.settings.Region && !slices.Contains(except, front) {
+			out = append(out, detour.Helper{Name: front, FailureDomain: h.FailureDomain, Leaving: h.Leaving})
 		}
 	}
 	return out
