--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -231,8 +231,10 @@
 	if exchanger == nil {
 		return nil, detourPart{}, errNoPath
 	}
-	ackCtx, cancel := context.WithTimeout(ctx, helperAckTimeout)
+	ackCtx, cancel := context.WithTimeout(context.Background(), helperAckTimeout)
 	defer cancel()
+	// Without the values of ctx: its trace hooks are about connections to servers.
+	defer context.AfterFunc(ctx, cancel)()
 	x, err := exchanger.Begin(ackCtx, q)
 	switch {
 	case errors.Is(err, link.ErrNotSent):
--- /dev/null
+++ b/gateway/detour_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/link"
+	"github.com/hawthornrock/hawthornrock/transport/task"
+)
+
+// TestWhatADetourProves guards against a request that is said not to have run although it may have, or
+// the reverse, for each way in which another daemon can answer or fail (P52).
+func TestWhatADetourProves(t *testing.T) {
+	const address = "127.0.0.1:1"
+	hang := func(ctx context.Context, _ func(detourPart) error) { <-ctx.Done() }
+	parts := func(parts ...detourPart) func(context.Context, func(detourPart) error) {
+		return func(_ context.Context, send func(detourPart) error) {
+			for _, part := range parts {
+				_ = send(part)
+			}
+		}
+	}
+	die := func(after func(context.Context, func(detourPart) error)) func(context.Context, func(detourPart) error) {
+		return func(ctx context.Context, send func(detourPart) error) {
+			after(ctx, send)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	received := detourPart{Received: true}
+	head := detourPart{Status: http.StatusOK, Header: http.Header{"X-Hawthornrock-Response-Signature": {"s"}}}
+	for _, tc := range []struct {
+		name   string
+		helper func(context.Context, func(detourPart) error)
+		want   attemptResult
+		body   string
+		whole  bool
+	}{
+		{"answered", parts(received, head, detourPart{Body: []byte("a")}, detourPart{Body: []byte("b")}, detourPart{End: true}), answered, "ab", true},
+		{"broken_off_by_the_server", parts(received, head, detourPart{Body: []byte("a")}, detourPart{Broken: true}), answered, "a", false},
+		{"dies_in_the_body", die(parts(received, head, detourPart{Body: []byte("a")})), answered, "a", false},
+		{"dies_before_the_answer", die(parts(received)), lost, "", false},
+		{"dies_at_once", die(parts()), lost, "", false},
+		{"confirms_nothing", hang, lost, "", false},
+		{"answer_lost_by_the_server", parts(received, detourPart{Broken: true}), lost, "", false},
+		{"refuses_busy", parts(received, detourPart{Refusal: refusedBusy}), notRun, "", false},
+		{"refuses_links", parts(received, detourPart{Refusal: refusedLinks}), notRun, "", false},
+		{"refuses_unreachable", parts(received, detourPart{Refusal: refusedUnreachable}), notRun, "", false},
+		{"refuses_server", parts(received, detourPart{Refusal: refusedServer}), notRun, "", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := newController().gateway
+			peer := httptest.NewServer(link.AcceptExchanges("secret", g.links, func(ctx context.Context, q detourRequest, send func(detourPart) error) {
+				require.Equal(t, "body", string(q.Body))
+				require.Equal(t, "/buy/x?a=%20", q.Target)
+				tc.helper(ctx, send)
+			}))
+			t.Cleanup(peer.Close)
+			var group task.Group
+			g.linkGroup.Store(&group)
+			g.view.Store(&View{
+				Servers:            map[string]site.Server{address: {ID: "s", Address: address}},
+				Peers:              map[string]heartbeat{"h1": {Front: "h", Ready: true, Peer: strings.TrimPrefix(peer.URL, "http://"), Secret: "secret"}},
+				IncarnationByFront: map[string]string{"h": "h1"},
+			})
+			g.DialServer = func(context.Context, string, string) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}
+			c := &call{method: http.MethodPost, host: "h", target: "/buy/x?a=%20", body: []byte("body"), route: &site.Route{}, deadline: time.Now().Add(5 * time.Second)}
+			resp, result, err := g.send(withAttempt(t.Context(), &attempt{}), c, site.Server{ID: "s", Address: address}, "")
+			require.Equal(t, tc.want, result, "%v", err)
+			if tc.want != answered {
+				require.Error(t, err)
+				return
+			}
+			answer, err := g.readAnswer(&call{}, resp)
+			if tc.whole {
+				require.NoError(t, err)
+				require.Equal(t, tc.body, string(answer.body))
+				return
+			}
+			require.ErrorIs(t, err, errDetourBroke)
+		})
+	}
+}
+
+// TestRefusedConnections guards against a server that is taken for gone since this daemon's connections
+// to it are refused, although another daemon does not say so (P53).
+func TestRefusedConnections(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	for _, tc := range []struct {
+		name   string
+		reason error
+		want   bool
+	}{
+		{"nobody_to_ask", errNoPath, true},
+		{"refused_there_as_well", &helperRefusedError{reason: refusedAbsent}, true},
+		{"helper_without_links", &helperRefusedError{reason: refusedLinks}, false},
+		{"silent_there", &helperRefusedError{reason: refusedUnreachable}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			err := newController().gateway.unreachable("a:1", refused, tc.reason)
+			require.Equal(t, tc.want, isRefused(err))
+			require.True(t, isUnreached(err))
+		})
+	}
+}
+
+// TestUnacknowledgedBytes guards against connections to a peer that is gone which nothing closes: the
+// option is set, and keep-alive probes, whose end it would decide as well, are off (P59).
+func TestUnacknowledgedBytes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	conn, err := dialer().DialContext(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	tcp, ok := conn.(*net.TCPConn)
+	require.True(t, ok)
+	raw, err := tcp.SyscallConn()
+	require.NoError(t, err)
+	var timeout, keepAlive int
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		var errTimeout, errKeepAlive error
+		timeout, errTimeout = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		keepAlive, errKeepAlive = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		require.NoError(t, errors.Join(errTimeout, errKeepAlive))
+	}))
+	require.EqualValues(t, unackedTimeout.Milliseconds(), timeout)
+	require.Zero(t, keepAlive)
+}
