--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -86,6 +86,8 @@
 	// last answered it; zero if none did. isolatedUntil is until when it claims no term for that.
 	unreachedSince time.Duration
 	isolatedUntil  time.Duration
+	// claimableSince is since when a term has been claimable; zero if none is.
+	claimableSince time.Duration
 	// nextFleetLogAt is when the fleet is logged next.
 	nextFleetLogAt time.Duration
 	planner        *formation.Planner
@@ -165,10 +167,11 @@
 // elect claims a term if this daemon may, and records when it starts or stops leading.
 func (c *controller) elect(now time.Duration) {
 	l := &c.leadership
-	if !l.callPending && now >= l.nextCallAt && !c.gateway.leaving.Load() && c.eligible() {
-		if end, may := l.candidate.ClaimableOffset(now, l.heartbeatsReadAt); !l.termsKnown {
+	end, claimable := l.candidate.ClaimableOffset(now, l.heartbeatsReadAt)
+	if c.eligible(now, claimable) && !l.callPending && now >= l.nextCallAt && !c.gateway.leaving.Load() {
+		if !l.termsKnown {
 			c.readTerms()
-		} else if may && c.canServe() {
+		} else if claimable && c.canServe() {
 			c.claimTerm(end)
 		}
 	}
@@ -218,14 +221,27 @@
 	}
 }
 
-// eligible returns whether this daemon may claim a term: readers with paths to the servers may, as they
-// are the first to see changes of the fleet, and so may any daemon if none of them has led for a while.
-func (c *controller) eligible() bool {
+// strandedClaimDelay is how long a reader that has lost its links leaves a term to the others.
+const strandedClaimDelay = time.Second
+
+// eligible returns whether this daemon may claim a term, if one is claimable: readers may, as they are the
+// first to see changes of the fleet, those that have lost their links later than the others, and so may
+// any daemon if no reader has led for a while.
+func (c *controller) eligible(now time.Duration, claimable bool) bool {
 	l := &c.leadership
-	if clock.Boot() < l.isolatedUntil {
+	if !claimable {
+		l.claimableSince = 0
+	} else if l.claimableSince == 0 {
+		l.claimableSince = now
+	}
+	if now < l.isolatedUntil {
 		return false
 	}
-	return c.gateway.isReader() && !c.gateway.paths.linksLost() || l.heartbeatsReadAt-max(l.candidate.LeaderSeenAt(), c.gateway.startedAt) > 2*tenureTimeouts.ElectionTimeout
+	reader := c.gateway.isReader()
+	if reader && c.gateway.paths.linksLost() {
+		reader = claimable && now-l.claimableSince >= strandedClaimDelay
+	}
+	return reader || l.heartbeatsReadAt-max(l.candidate.LeaderSeenAt(), c.gateway.startedAt) > 2*tenureTimeouts.ElectionTimeout
 }
 
 // isReader returns whether this daemon reads the store for others.
--- /dev/null
+++ b/gateway/lead_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/tenure"
+)
+
+// TestLeaderWithoutServers guards against a leader whose orders reach nobody and that goes on leading
+// (P54), and against one that resigns for a moment of silence.
+func TestLeaderWithoutServers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(c *controller, now time.Duration)
+		want bool
+	}{
+		{"reaches_servers", func(*controller, time.Duration) {}, false},
+		{"unreached_for_a_moment", func(c *controller, now time.Duration) { c.recordUnreached(now - time.Second) }, false},
+		{"unreached", func(c *controller, now time.Duration) { c.recordUnreached(now - isolationTimeout) }, true},
+		{"order_unreached", func(c *controller, now time.Duration) {
+			c.applyOrderResult(now-isolationTimeout, orderResult{answer: formation.Unknown, unreached: true})
+		}, true},
+		{"probe_answered_since", func(c *controller, now time.Duration) {
+			c.recordUnreached(now - isolationTimeout)
+			c.applyProbe(now, probeResult{answered: true})
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController()
+			now := time.Hour
+			c.leadership.candidate.ObserveEnd(now, 0)
+			c.leadership.candidate.ClaimAccepted(now)
+			c.leadership.planner = formation.New(1, now)
+			tc.do(c, now)
+			require.Equal(t, tc.want, c.isIsolated(now))
+		})
+	}
+}
+
+// TestReadersWithoutLinksLeadLast guards against a term that nobody claims since all readers have lost
+// their links, and against one that claims it before a reader that reaches the servers (P54).
+func TestReadersWithoutLinksLeadLast(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		linksLost bool
+		claimable time.Duration
+		want      bool
+	}{
+		{"links", false, 0, true},
+		{"no_links", true, 0, false},
+		{"no_links_and_nobody_else", true, strandedClaimDelay, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController()
+			now := time.Hour
+			c.gateway.peers.isReader, c.gateway.paths.manyLost = true, tc.linksLost
+			c.leadership.candidate = tenure.Candidate{Timeouts: tenureTimeouts}
+			c.leadership.candidate.ObserveEnd(0, 0)
+			c.eligible(now-tc.claimable, true)
+			require.Equal(t, tc.want, c.eligible(now, true))
+		})
+	}
+}
