--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -77,8 +77,10 @@
 		return refusedBusy
 	case server.ID == "" || server.ID != q.Server:
 		return refusedServer
-	case g.route(q.Address) != detour.Direct:
+	case g.route(q.Address) != detour.Direct && g.paths.linksLost():
 		return refusedLinks
+	case g.route(q.Address) != detour.Direct:
+		return refusedUnreachable
 	}
 	if !q.Call {
 		return notRefused
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -20,10 +20,11 @@
 	// maxPathTests bounds the tests of lost paths that are begun at once.
 	maxPathTests = 16
 	// pathCheckPause is the minimum time between two checks of the path to one server.
-	pathCheckPause = 300 * time.Millisecond
+	pathCheckPause = time.Second
 	// ownLinksTTL is how long a connection to any server shows that this daemon's links work.
 	ownLinksTTL = 200 * time.Millisecond
-	// ownLinksSample is the number of other servers that are dialled to find out the same.
+	// ownLinksSample is the number of other servers that are dialled to find out the same, the first one
+	// alone.
 	ownLinksSample = 4
 	// manyLostPaths is the number of lost paths from which a daemon reports that its links are lost.
 	manyLostPaths = 3
@@ -255,7 +256,10 @@
 		return true
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), ownLinksSample)]
+	if g.testPath(ctx, others[0]) {
+		return true
+	}
+	others = others[1:min(len(others), ownLinksSample)]
 	results := make(chan bool, len(others))
 	for _, other := range others {
 		g.work.Go(ctx, "links test", func(ctx context.Context) error {
