--- a/gateway/board.go
+++ b/gateway/board.go
@@ -65,8 +65,9 @@
 	acquitted bool
 	// resentAfterCrash means that another server crashed under the request before.
 	resentAfterCrash bool
-	// around means that the attempt goes through another daemon.
+	// around means that the attempt goes through another daemon, helper is the one that was asked last.
 	around atomic.Bool
+	helper string
 	cancel context.CancelCauseFunc
 }
 
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -157,7 +157,10 @@
 			return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
 		}
 	}
-	x, part, reason := g.ask(ctx, q)
+	answer, reason := g.ask(ctx, q)
+	if a != nil {
+		a.helper = answer.helper
+	}
 	if reason != nil {
 		if errors.Is(reason, errDetourBroke) || ctx.Err() != nil {
 			return nil, reason
@@ -165,8 +168,8 @@
 		return nil, g.unreachable(address, direct, reason)
 	}
 	return &http.Response{
-		Status: http.StatusText(part.Status), StatusCode: part.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: part.Header, ContentLength: -1, Request: req, Body: &detourBody{ctx: ctx, exchange: x},
+		Status: http.StatusText(answer.head.Status), StatusCode: answer.head.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: answer.head.Header, ContentLength: -1, Request: req, Body: &detourBody{ctx: ctx, exchange: answer.exchange},
 	}, nil
 }
 
@@ -187,14 +190,22 @@
 	return fmt.Errorf("%w: %s: %w", errNoPath, direct.Error(), reason)
 }
 
-// ask asks other daemons, one after the other, to pass q on. It returns the exchange with the one that
-// did and the head of the server's answer. Unless the error is errDetourBroke, q was not sent.
-func (g *Gateway) ask(ctx context.Context, q detourRequest) (*link.Exchange[detourRequest, detourPart], detourPart, error) {
+// A detourAnswer is the beginning of an answer that the daemon with the front address helper passes on.
+type detourAnswer struct {
+	helper   string
+	exchange *link.Exchange[detourRequest, detourPart]
+	head     detourPart
+}
+
+// ask asks other daemons, one after the other, to pass q on, and returns the beginning of the server's
+// answer. Unless the error is errDetourBroke, q was not sent.
+func (g *Gateway) ask(ctx context.Context, q detourRequest) (detourAnswer, error) {
 	var (
-		asked []string
-		last  = errNoPath
-		self  = detour.Helper{Name: g.settings.Front, FailureDomain: g.settings.FailureDomain}
-		to    = g.destination(q.Address)
+		asked  []string
+		answer detourAnswer
+		last   = errNoPath
+		self   = detour.Helper{Name: g.settings.Front, FailureDomain: g.settings.FailureDomain}
+		to     = g.destination(q.Address)
 	)
 	for range maxHelpersAsked {
 		g.paths.mu.Lock()
@@ -204,11 +215,12 @@
 			break
 		}
 		asked = append(asked, helper.Name)
-		x, part, err := g.askHelper(ctx, helper.Name, q)
-		if err == nil {
+		answer.helper = helper.Name
+		var err error
+		if answer.exchange, answer.head, err = g.askHelper(ctx, helper.Name, q); err == nil {
 			g.recordReached(q.Address, helper.Name)
 			g.metrics.events.Add("detours", 1)
-			return x, part, nil
+			return answer, nil
 		}
 		var refused *helperRefusedError
 		if last = err; errors.As(err, &refused) && (refused.reason == refusedServer || refused.reason == refusedAbsent || refused.reason == refusedUnreachable) || errors.Is(err, errAnswerLost) {
@@ -222,7 +234,7 @@
 			break
 		}
 	}
-	return nil, detourPart{}, last
+	return answer, last
 }
 
 // askHelper asks the daemon with the given front address to pass q on.
@@ -266,7 +278,7 @@
 func (g *Gateway) testAround(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, _, err := g.ask(ctx, detourRequest{Address: address, Server: g.view.Load().Servers[address].ID})
+	_, err := g.ask(ctx, detourRequest{Address: address, Server: g.view.Load().Servers[address].ID})
 	if err != nil {
 		g.paths.mu.Lock()
 		g.paths.paths.Unreachable(clock.Boot(), g.destination(address))
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
@@ -117,6 +119,65 @@
 	}
 }
 
+// TestHelperRefuses guards against a request that reaches a server through another daemon although that
+// daemon knows better (P52): either one's knowledge is enough.
+func TestHelperRefuses(t *testing.T) {
+	const address = "127.0.0.1:1"
+	server := site.Server{ID: "s", Address: address, Born: 1, FailureDomain: "north"}
+	request := detourRequest{Address: address, Server: "s", Call: true}
+	for _, tc := range []struct {
+		name string
+		do   func(g *Gateway, v *View, q *detourRequest)
+		want detourRefusal
+	}{
+		{"nothing_against_it", func(*Gateway, *View, *detourRequest) {}, notRefused},
+		{"another_server_at_the_address", func(_ *Gateway, _ *View, q *detourRequest) { q.Server = "gone" }, refusedServer},
+		{"not_listed", func(_ *Gateway, v *View, _ *detourRequest) { v.Servers = nil }, refusedServer},
+		{"domain_out", func(_ *Gateway, v *View, _ *detourRequest) { v.DomainsOut = map[string]bool{"north": true} }, refusedServer},
+		{"order_in_a_domain_that_is_out", func(_ *Gateway, v *View, q *detourRequest) {
+			v.DomainsOut, q.Call = map[string]bool{"north": true}, false
+		}, notRefused},
+		{"leaving", func(g *Gateway, _ *View, _ *detourRequest) {
+			g.recordNotice(&call{}, server, notice.Notice{Leaving: true})
+		}, refusedServer},
+		{"backing_off", func(g *Gateway, _ *View, _ *detourRequest) {
+			g.recordNotice(&call{}, server, notice.Notice{Backoff: time.Minute})
+		}, refusedServer},
+		{"busy", func(g *Gateway, _ *View, _ *detourRequest) { g.detours.Store(maxDetours) }, refusedBusy},
+		{"stopped", func(g *Gateway, _ *View, _ *detourRequest) { g.leaving.Store(true) }, refusedBusy},
+		{"own_path_lost", func(g *Gateway, _ *View, _ *detourRequest) { g.recordPathLost(address, errNoPath) }, refusedUnreachable},
+		{"own_links_lost", func(g *Gateway, _ *View, _ *detourRequest) {
+			for _, other := range []string{address, "127.0.0.1:2", "127.0.0.1:3"} {
+				g.recordPathLost(other, errNoPath)
+			}
+		}, refusedLinks},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, q := newController(), request
+			g, v := c.gateway, &View{Servers: map[string]site.Server{address: server}}
+			c.leadership.dead = make(map[string]deadServer)
+			g.startController()
+			t.Cleanup(func() { g.system.Shutdown() })
+			tc.do(g, v, &q)
+			g.view.Store(v)
+			require.Equal(t, tc.want, g.refusesDetour(q, v.Servers[address]))
+		})
+	}
+}
+
+// TestHelpersOfTheRegion guards against a body that is passed to a daemon in another region (P52).
+func TestHelpersOfTheRegion(t *testing.T) {
+	g := newController().gateway
+	g.settings.Region = "here"
+	g.view.Store(&View{
+		Peers: map[string]heartbeat{
+			"1": {Ready: true, Peer: "a", Region: "here"}, "2": {Ready: true, Peer: "b", Region: "there"}, "3": {Peer: "c", Region: "here"},
+		},
+		IncarnationByFront: map[string]string{"near": "1", "far": "2", "starting": "3"},
+	})
+	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(nil))
+}
+
 // TestUnacknowledgedBytes guards against connections to a peer that is gone which nothing closes: the
 // option is set, and keep-alive probes, whose end it would decide as well, are off (P59).
 func TestUnacknowledgedBytes(t *testing.T) {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -68,6 +68,15 @@
 	firstEventDelay time.Duration
 	longestPause    time.Duration
 	servers         []string
+	// helpers are the daemons that passed the request on, by front address.
+	helpers []string
+}
+
+// recordHelper records the daemon that a went through, if any.
+func (c *call) recordHelper(a *attempt) {
+	if a.helper != "" {
+		c.helpers = append(c.helpers, a.helper)
+	}
 }
 
 // A refusal is an answer that the daemon generates itself.
@@ -241,6 +250,9 @@
 	if len(c.servers) > 0 {
 		line = line.Strs("servers", c.servers)
 	}
+	if len(c.helpers) > 0 {
+		line = line.Strs("helpers", c.helpers)
+	}
 	if c.detail != "" {
 		line = line.Str("why", c.detail)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -154,6 +154,7 @@
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
 	resp, s, err := g.send(withAttempt(ctx, a), c, server, "")
+	c.recordHelper(a)
 	if s != answered {
 		if errors.Is(err, context.DeadlineExceeded) {
 			g.checkPath(server.Address)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -219,6 +219,7 @@
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
 	resp, result, err := g.send(withAttempt(ctx, a), c, replica.Head, s.lastEventID)
+	c.recordHelper(a)
 	if result != notRun {
 		c.ran++
 	}
