--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
@@ -325,6 +326,7 @@
 func (g *Gateway) probeAfterLoss(c *call, a *attempt, server site.Server) string {
 	crash, unanswered := g.tracker.crashReport(g.settings.Daemon, server, a)
 	crash.Parts = g.crashes.suspectParts(unanswered)
+	began := clock.Boot()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if g.stillAlive(ctx, c, server) {
@@ -333,7 +335,7 @@
 		}
 		return "lives"
 	}
-	if !g.ownLinksWork(context.Background(), server.Address) {
+	if !g.ownLinksWork(context.Background(), server.Address, began) {
 		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
 		return "links_lost"
 	}
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -136,6 +136,11 @@
 		{"another_server_at_the_address", func(_ *Gateway, _ *View, q *detourRequest) { q.Server = "gone" }, refusedServer},
 		{"not_listed", func(_ *Gateway, v *View, _ *detourRequest) { v.Servers = nil }, refusedServer},
 		{"domain_out", func(_ *Gateway, v *View, _ *detourRequest) { v.DomainsOut = map[string]bool{"north": true} }, refusedServer},
+		{"draining", func(_ *Gateway, v *View, _ *detourRequest) {
+			draining := server
+			draining.Draining = true
+			v.Servers = map[string]site.Server{address: draining}
+		}, refusedServer},
 		{"order_in_a_domain_that_is_out", func(_ *Gateway, v *View, q *detourRequest) {
 			v.DomainsOut, q.Call = map[string]bool{"north": true}, false
 		}, notRefused},
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -41,7 +42,7 @@
 		defer g.detours.Add(-1)
 		if q.Method == "" {
 			if !g.testPath(ctx, q.Address) {
-				reason = g.refusalOf(ctx, q.Address, nil)
+				reason = g.refusalOf(ctx, q.Address, arrived, nil)
 			}
 		} else if clock.Boot()-arrived > q.SendWithin {
 			// This daemon was paused.
@@ -98,21 +99,22 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
 		Body: singleUseBody{bytes.NewReader(q.Body)},
 	}
-	transport := g.pooledTransport.direct
+	began, transport := clock.Boot(), g.pooledTransport.direct
 	if q.SingleUse {
 		transport = g.singleUseTransport.direct
 	}
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil && isDialError(err) {
-		return nil, g.refusalOf(ctx, q.Address, err), nil
+		return nil, g.refusalOf(ctx, q.Address, began, err), nil
 	}
 	return resp, notRefused, err
 }
 
-// refusalOf returns the refusal of a request whose server this daemon could not connect to with err.
-func (g *Gateway) refusalOf(ctx context.Context, address string, err error) detourRefusal {
+// refusalOf returns the refusal of a request whose server this daemon tried to connect to from began on, in
+// vain, with err.
+func (g *Gateway) refusalOf(ctx context.Context, address string, began time.Duration, err error) detourRefusal {
 	switch {
-	case !g.ownLinksWork(ctx, address):
+	case !g.ownLinksWork(ctx, address, began):
 		return refusedLinks
 	case isRefused(err):
 		return refusedAbsent
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -461,11 +461,12 @@
 	for _, s := range servers {
 		targets = append(targets, probeTarget{ID: s.ID, Address: s.Address, Born: s.Born})
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
+			began := clock.Boot()
 			answered := g.answersProbe(ctx, s)
 			if !answered {
 				// Other hubs probe for just as long, and their results may still be in flight.
 				clock.Sleep(ctx, peerProbeMargin)
-				if !g.ownLinksWork(ctx, s.Address) {
+				if !g.ownLinksWork(ctx, s.Address, began) {
 					g.logger.Info().Str("event", "probe_ignored").Str("server", s.ID).Msg("this daemon reaches no server; the probe says nothing")
 					g.enqueue(serverUnreached{})
 					return nil
@@ -529,6 +530,7 @@
 	c.dirty = c.servers.dropCutOff(m.server.ID) || c.dirty
 	if !known {
 		c.dirty = true
+		c.gateway.metrics.events.Add("servers_dead", 1)
 		c.gateway.logger.Warn().Str("event", "server_dead").Str("server", m.server.ID).Str("group", m.server.Member.Group).
 			Int64("term", c.leadership.term).Msg("server answers neither this daemon nor another hub; counted as dead")
 	}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -21,8 +21,6 @@
 	maxPathTests = 16
 	// pathCheckPause is the minimum time between two checks of the path to one server.
 	pathCheckPause = time.Second
-	// ownLinksTTL is how long a connection to any server shows that this daemon's links work.
-	ownLinksTTL = 200 * time.Millisecond
 	// ownLinksSample is the number of other servers that are dialled to find out the same, the first one
 	// alone.
 	ownLinksSample = 4
@@ -237,11 +235,11 @@
 	return due[:min(len(due), maxPathTests)]
 }
 
-// ownLinksWork returns whether this daemon connects to servers other than the one at address. If it does
-// not, what it does not reach says nothing about that server.
-func (g *Gateway) ownLinksWork(ctx context.Context, address string) bool {
+// ownLinksWork returns whether this daemon has connected to a server since it tried the one at address in
+// vain, at since, or does so now. If not, what it does not reach says nothing about that server.
+func (g *Gateway) ownLinksWork(ctx context.Context, address string, since time.Duration) bool {
 	g.paths.mu.Lock()
-	connected := g.paths.paths.ConnectedSince(clock.Boot() - ownLinksTTL)
+	connected := g.paths.paths.ConnectedSince(since)
 	g.paths.mu.Unlock()
 	if connected {
 		return true
