--- a/processes_test.go
+++ b/processes_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornrock/hawthornrock/coordination/configuration"
@@ -56,18 +57,19 @@
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
 	c.platform = freeAddress(t)
-	c.start("standin", "log", "-listen", c.platform)
+	c.start("log", "standin", "log", "-listen", c.platform)
 	waitForAnswer(t, "http://"+c.platform+"/v1/instances")
 	for _, domain := range c.domains {
 		for n := range 5 {
 			address := freeAddress(t)
-			c.start("standin", "engine", "-listen", address, "-platform", c.platform, "-name", fmt.Sprintf("%s-%d", domain, n), "-load", "200ms",
+			name := fmt.Sprintf("%s-%d", domain, n)
+			c.start(name, "standin", "engine", "-listen", address, "-platform", c.platform, "-name", name, "-load", "200ms",
 				"-failure_domain", domain, "-fabric_domain", domain+"-a", fmt.Sprintf("-checks_fencing=%t", fenced))
 			c.engines = append(c.engines, address)
 		}
 	}
 	c.service = freeAddress(t)
-	c.start("standin", "service", "-listen", c.service, "-platform", c.platform, "-name", "ordering-1", "-failure_domain", "bayangol", "-deployment", "ordering")
+	c.start("ordering-1", "standin", "service", "-listen", c.service, "-platform", c.platform, "-name", "ordering-1", "-failure_domain", "bayangol", "-deployment", "ordering")
 	for range 3 {
 		c.daemons = append(c.daemons, &daemonProcess{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)})
 	}
@@ -78,11 +80,12 @@
 	return c
 }
 
-// start starts a process of the binary under test, which is killed when the test ends.
-func (c *cluster) start(args ...string) *exec.Cmd {
+// start starts a process of the binary under test, which is killed when the test ends. Its log goes to a
+// file of the given name.
+func (c *cluster) start(name string, args ...string) *exec.Cmd {
 	c.t.Helper()
 	cmd := exec.Command(c.binary, args...)
-	cmd.Stderr = c.log()
+	cmd.Stderr = c.log(name)
 	require.NoError(c.t, cmd.Start())
 	c.t.Cleanup(func() {
 		// The process may be paused by SIGSTOP or have exited already, so errors are ignored.
@@ -93,9 +96,9 @@
 	return cmd
 }
 
-// log opens the log file that all processes append to.
-func (c *cluster) log() *os.File {
-	file, err := os.OpenFile(filepath.Join(c.dir, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+// log opens the log file of the process with the given name.
+func (c *cluster) log(name string) *os.File {
+	file, err := os.OpenFile(filepath.Join(c.dir, name+logSuffix), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { require.NoError(c.t, file.Close()) })
 	return file
@@ -121,7 +124,7 @@
 backends: [{name: standin}]
 `, n, c.domains[n%len(c.domains)], d.callers, d.operators, d.peers, c.platform, strings.Join(seeds, ", "), demo.Hash(demo.Token), demo.Hash("key"))
 	require.NoError(c.t, os.WriteFile(d.file, []byte(text), 0o600))
-	d.cmd = c.start("serve", "-settings", d.file)
+	d.cmd = c.start(fmt.Sprintf("entry-%d", n), "serve", "-settings", d.file)
 	waitForAnswer(c.t, "http://"+d.operators+"/healthz")
 }
 
@@ -152,10 +155,13 @@
 // waitServing waits until the n-th daemon reports at least want serving replicas.
 func (c *cluster) waitServing(n, want int) {
 	c.t.Helper()
-	require.Eventually(c.t, func() bool {
+	if !assert.Eventually(c.t, func() bool {
 		status, err := c.operator(n).Status(c.t.Context())
 		return err == nil && len(status.Replicas) >= want
-	}, 30*time.Second, 50*time.Millisecond)
+	}, 30*time.Second, 50*time.Millisecond, "entry-%d does not report %d serving replicas", n, want) {
+		c.logState()
+		c.t.FailNow()
+	}
 }
 
 // directorOf returns the daemon that holds the lease of a failure domain and the term, according to
