fix(gateway): a daemon that starts does not name those that ended long ago (DRAIN)

Cause: the store keeps the last heartbeat of each daemon for ever; a daemon that starts took it for alive for 1.8 s, during which it answers the directory. Older than this issue; ruled out: detours, which the directory does not know. Fix: a listed heartbeat counts if the others have not written three intervals' worth of records since. TestDaemonsThatEndedLongAgo failed before.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -323,6 +323,9 @@
 		if h.Front == c.gateway.settings.Front && h.Incarnation != c.gateway.incarnation {
 			c.gateway.previousSecret.CompareAndSwap(nil, &h.Secret)
 		}
+		if m.update.Whole && !known && isStaleHeartbeat(m.update, r) {
+			continue
+		}
 		if m.update.Whole && !known && h.Incarnation != c.gateway.incarnation {
 			// The newest record of a key may be of a daemon that ended long ago: it expires unless
 			// another heartbeat follows within one and a half intervals.
@@ -339,6 +342,22 @@
 	c.leadership.heartbeatsReadAt = m.update.ReadAt
 }
 
+const (
+	// maxMissedHeartbeats is how many heartbeats a listed daemon may have missed, judged by those that the
+	// others have written since.
+	maxMissedHeartbeats = 3
+	// extraLeaderHeartbeats is the number of heartbeats that the leader writes beyond one in the interval
+	// of the others.
+	extraLeaderHeartbeats = int64(heartbeatInterval / leaderInterval)
+)
+
+// isStaleHeartbeat returns whether the heartbeat r of a listing is of a daemon that ended a while ago. The
+// store keeps the newest one of each daemon, and heartbeats have no time that other daemons could compare.
+func isStaleHeartbeat(listing relay.Update, r relay.Record) bool {
+	perInterval := int64(len(listing.Records)) + extraLeaderHeartbeats
+	return listing.End-r.Offset > maxMissedHeartbeats*perInterval
+}
+
 // detectRestart compares the heartbeat h of a daemon with the one before, old. A new incarnation
 // proves that the previous one has ended, and with it the term that it may have led. For this
 // daemon itself, a heartbeat of another incarnation is enough proof.
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -147,3 +147,36 @@
 		})
 	}
 }
+
+// TestDaemonsThatEndedLongAgo guards against a daemon that starts and names a daemon to callers that ended
+// long ago (DRAIN): the store keeps the last heartbeat of each.
+func TestDaemonsThatEndedLongAgo(t *testing.T) {
+	const end = 1000
+	for _, tc := range []struct {
+		name   string
+		offset int64
+		want   bool
+	}{
+		{"just_written", end - 1, true},
+		{"some_intervals_ago", end - 15, true},
+		{"long_ago", end - 100, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController()
+			update := relay.Update{Whole: true, End: end}
+			add := func(front string, offset int64) {
+				text, err := cbor.Marshal(heartbeat{Daemon: front, Front: front, Incarnation: front + "1", Ready: true})
+				require.NoError(t, err)
+				update.Records = append(update.Records, relay.Record{Key: front, Value: text, Offset: offset})
+			}
+			for n := range int64(5) {
+				add(fmt.Sprint("live", n), end-2-n)
+			}
+			add("it", tc.offset)
+			c.applyHeartbeats(time.Second, topicPage{topic: platform.TopicDaemons, update: update})
+			require.Equal(t, tc.want, c.daemons["it"].Heartbeat.Ready)
+			c.receiveHeartbeats(t, 2*time.Second, false, heartbeat{Daemon: "it", Front: "it", Incarnation: "it1", Ready: true})
+			require.True(t, c.daemons["it"].Heartbeat.Ready, "it lives after all")
+		})
+	}
+}
