fix(gateway): a daemon listed by hubs was seen some time ago (DRAIN)

Cause: the times add up: its last status counts at its hub for 1.2 s, the hub's list at the next one for 1.5 s, and then the timeout of 3.5 s began. Fix: a listed daemon counts as seen half a second ago, the interval of the lists. TestDaemonThatEndedIsForgotten failed before.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -387,7 +387,8 @@
 	}
 	for key, p := range c.daemons {
 		if alive[daemonID(p.Heartbeat.Incarnation)] {
-			p.LastSeenAt = now
+			// The list may be that old.
+			p.LastSeenAt = max(p.LastSeenAt, now-membershipInterval)
 			c.daemons[key] = p
 		}
 	}
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -180,3 +180,19 @@
 		})
 	}
 }
+
+// TestDaemonThatEndedIsForgotten guards against a daemon that is named to callers six seconds after it has
+// ended (DRAIN), since hubs list it for as long as they may.
+func TestDaemonThatEndedIsForgotten(t *testing.T) {
+	const bound = 6 * time.Second
+	c := newController()
+	h := heartbeat{Daemon: "it", Front: "it", Incarnation: "it1", Ready: true}
+	c.receiveHeartbeats(t, 0, false, h)
+	// Its last status counts at its hub for maxStatusAge, and the hub's list at another one for membershipTTL.
+	lastListed := maxStatusAge + membershipTTL
+	c.applyPeerStatus(lastListed, peerStatus{daemons: []uint64{daemonID("it1")}})
+	c.expirePeers(lastListed + peerTimeout - membershipInterval)
+	require.Contains(t, c.daemons, "it")
+	c.expirePeers(bound)
+	require.NotContains(t, c.daemons, "it")
+}
