--- a/processes_test.go
+++ b/processes_test.go
@@ -86,6 +86,8 @@
 	c.t.Helper()
 	cmd := exec.Command(c.binary, args...)
 	cmd.Stderr = c.log(name)
+	// In a group of its own a paused process is not hung up on when the shell that runs the tests exits.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	require.NoError(c.t, cmd.Start())
 	c.t.Cleanup(func() {
 		// The process may be paused by SIGSTOP or have exited already, so errors are ignored.
