--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -209,3 +209,24 @@
 	require.EqualValues(t, unackedTimeout.Milliseconds(), timeout)
 	require.Zero(t, keepAlive)
 }
+
+// TestOrdersWaitLongerToConnect guards against a leader that takes all its paths for lost as it connects to
+// hundreds of servers at once, and gives its term up in the work of going around them.
+func TestOrdersWaitLongerToConnect(t *testing.T) {
+	g := newController().gateway
+	g.DialServer = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(2 * serverDialTimeout):
+			client, _ := net.Pipe()
+			return client, nil
+		}
+	}
+	_, err := g.dialForOrder(t.Context(), "tcp", "a:1")
+	require.NoError(t, err)
+	require.False(t, g.paths.isLost("a:1"))
+	_, err = g.dialServer(t.Context(), "tcp", "a:1")
+	require.Error(t, err)
+	require.True(t, g.paths.isLost("a:1"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
 	g.singleUseTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, true)}
 	g.pooledTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, false)}
-	orders := &serverTransport{gateway: g, direct: newTransport(g.dialServer, false)}
+	orders := &serverTransport{gateway: g, direct: newTransport(g.dialForOrder, false)}
 	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: orders, Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{OnViolation: func(p invariant.Name, message string) {
 		logger.Error().Str("event", "invariant_violated").Str("promise", string(p)).Msg(message)
@@ -118,11 +118,11 @@
 }
 
 const (
-	// dialTimeout bounds connecting to the store or to another daemon: many round trips within a
-	// region.
+	// dialTimeout bounds connecting to the store, to another daemon or to a server for an order: many
+	// round trips within a region, and the time that a leader takes to connect to hundreds of servers.
 	dialTimeout = 400 * time.Millisecond
-	// serverDialTimeout is the same for a backend server. It is shorter, as another daemon may still
-	// reach the server.
+	// serverDialTimeout bounds connecting to a server for a request of a caller. It is shorter, as
+	// another daemon may still reach the server.
 	serverDialTimeout = 150 * time.Millisecond
 	// idleConnTimeout is how long an unused connection is kept.
 	idleConnTimeout = 30 * time.Second
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -86,8 +86,18 @@
 	return ps.paths.IsLost(address)
 }
 
-// dialServer connects to a backend server, and records whether that succeeded.
+// dialServer connects to a backend server for a request of a caller, and records whether that succeeded.
 func (g *Gateway) dialServer(ctx context.Context, network, address string) (net.Conn, error) {
+	return g.dialWithin(ctx, serverDialTimeout, network, address)
+}
+
+// dialForOrder is dialServer for an order or a report.
+func (g *Gateway) dialForOrder(ctx context.Context, network, address string) (net.Conn, error) {
+	return g.dialWithin(ctx, dialTimeout, network, address)
+}
+
+// dialWithin connects to a backend server within timeout, and records whether that succeeded.
+func (g *Gateway) dialWithin(ctx context.Context, timeout time.Duration, network, address string) (net.Conn, error) {
 	var (
 		conn net.Conn
 		err  error
@@ -96,7 +106,7 @@
 	if g.DialServer != nil {
 		dial = g.DialServer
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if conn, err = dial(dialCtx, network, address); err == nil {
 		g.recordConnected(address)
