--- /dev/null
+++ b/gateway/endings_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEndOf guards against log lines that blame a server for an end that the daemon, the caller or the
+// deadline caused.
+func TestEndOf(t *testing.T) {
+	caller, leave := context.WithCancel(t.Context())
+	leave()
+	deadline, cancel := context.WithTimeout(t.Context(), -time.Second)
+	defer cancel()
+	left, expired := func() context.Context { return caller }, func() context.Context { return deadline }
+	for _, tc := range []struct {
+		name  string
+		state func() context.Context
+		err   error
+		want  endedBy
+	}{
+		{"server", t.Context, errUnsigned, endedByServer},
+		{"stalled", t.Context, errStalled, endedByDaemon},
+		{"path_lost", t.Context, fmt.Errorf("attempt: %w", errPathLost), endedByDaemon},
+		{"caller_left", left, errStalled, endedByCaller},
+		{"deadline", expired, errStalled, endedByDeadline},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, endOf(tc.state(), tc.err))
+		})
+	}
+}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -63,6 +63,10 @@
 	bufferedBytes int64
 	// detail is the reason for a refusal or for the failure of the last attempt.
 	detail string
+	// endedBy says who ended the call; empty while it has a complete answer or was refused unsent.
+	endedBy endedBy
+	// version is that of the configuration under which the call was accepted.
+	version int64
 	// firstEventDelay is the time to the first event of a stream, longestPause the longest time
 	// between two events, and servers lists the servers or replicas that were tried.
 	firstEventDelay time.Duration
@@ -153,6 +157,7 @@
 		// Heartbeats say which requests crash servers.
 		return unavailable("no_heartbeats")
 	}
+	c.version = view.Configuration.Version
 	var ok bool
 	path, _, _ := strings.Cut(c.target, "?")
 	if !strings.HasPrefix(path, "/") {
@@ -239,6 +244,7 @@
 // recordOutcome counts and logs the outcome of a call.
 func (g *Gateway) recordOutcome(c *call, status int, outcome string) {
 	g.metrics.outcomes.Add(outcome, 1)
+	g.countEnd(c, outcome)
 	line := g.logger.Info().Str("event", "request").Str("request", c.request.Attempt).Int("status", status).Str("outcome", outcome).
 		Dur("took", time.Since(c.arrived)).Int("sent", c.sent).Int("ran", c.ran)
 	if c.route != nil {
@@ -256,6 +262,7 @@
 	if c.detail != "" {
 		line = line.Str("why", c.detail)
 	}
+	line = g.addEnd(line, c, status)
 	line.Dur("configuration_age", clock.Boot()-time.Duration(g.confirmedAt.Load())).Msg("")
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,9 @@
 	// confirmedAt is the time, on the boot clock, at which the last successful read of the
 	// operators' topic was sent.
 	confirmedAt atomic.Int64
-	leaving     atomic.Bool
+	// configurationAt is when, on the boot clock, the current configuration was applied.
+	configurationAt atomic.Int64
+	leaving         atomic.Bool
 	// acceptsUntil is the time, on the boot clock, until which a draining daemon accepts requests.
 	acceptsUntil atomic.Int64
 	// term is the term in which this daemon leads, zero if it does not; lastTerm is the last term
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -11,12 +11,16 @@
 
 // metrics holds the counters and histograms of one daemon.
 type metrics struct {
-	outcomes      expvar.Map
-	refusals      expvar.Map
-	events        expvar.Map
-	orders        expvar.Map
-	storeCalls    expvar.Map
-	storeFailures expvar.Map
+	outcomes expvar.Map
+	// ends counts outcomes by who ended the call, endsBesideChange those of them beside a change of the
+	// configuration.
+	ends             expvar.Map
+	endsBesideChange expvar.Map
+	refusals         expvar.Map
+	events           expvar.Map
+	orders           expvar.Map
+	storeCalls       expvar.Map
+	storeFailures    expvar.Map
 
 	firstEvent histogram
 	pause      histogram
@@ -27,7 +31,7 @@
 // newMetrics returns metrics with all counters at zero.
 func newMetrics() *metrics {
 	m := &metrics{}
-	for _, v := range []*expvar.Map{&m.outcomes, &m.refusals, &m.events, &m.orders, &m.storeCalls, &m.storeFailures} {
+	for _, v := range []*expvar.Map{&m.outcomes, &m.ends, &m.endsBesideChange, &m.refusals, &m.events, &m.orders, &m.storeCalls, &m.storeFailures} {
 		v.Init()
 	}
 	return m
@@ -76,6 +80,8 @@
 	m := g.metrics
 	vars.Set("invariants", g.monitor.Vars())
 	vars.Set("outcomes", &m.outcomes)
+	vars.Set("ends", &m.ends)
+	vars.Set("ends_beside_change", &m.endsBesideChange)
 	vars.Set("refusals", &m.refusals)
 	vars.Set("events", &m.events)
 	vars.Set("orders", &m.orders)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -73,7 +73,7 @@
 			last = answer
 		}
 		if err != nil {
-			c.detail = err.Error()
+			c.detail, c.endedBy = err.Error(), endOf(ctx, err)
 		}
 		if ctx.Err() != nil || !g.mayRetry(c, s != notRun) {
 			g.endPlain(ctx, w, c, last, 0)
@@ -226,6 +226,7 @@
 
 // writeAnswer writes a complete answer to the caller.
 func (g *Gateway) writeAnswer(w http.ResponseWriter, c *call, answer *plainAnswer) {
+	c.endedBy = ""
 	platform.EncodeResponse(w.Header(), answer.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	w.WriteHeader(answer.status)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,11 +53,12 @@
 		c.servers = append(c.servers, replica.Name)
 		result, err := g.tryReplica(ctx, s, replica)
 		if err == nil {
+			c.endedBy = ""
 			g.crashes.acquit(c.fingerprint)
 			g.recordOutcome(c, http.StatusOK, "answered")
 			return
 		}
-		c.detail = fmt.Sprintf("%s: %v", replica.Name, err)
+		c.detail, c.endedBy = fmt.Sprintf("%s: %v", replica.Name, err), endOf(ctx, err)
 		if ctx.Err() != nil || !g.mayRetry(c, result != notRun) {
 			var failure *serverError
 			if errors.As(err, &failure) && !s.headersSent && ctx.Err() == nil {
