--- a/gateway/board.go
+++ b/gateway/board.go
@@ -39,7 +39,7 @@
 	stallCheckInterval = 100 * time.Millisecond
 )
 
-// errStalled is the cancellation cause of an attempt whose replica stalled.
+// errStalled means that a replica sends nothing, so that its requests are tried elsewhere as well.
 var errStalled = errors.New("replica stalled")
 
 // An attempt is one request in flight at a server.
@@ -59,6 +59,8 @@
 	sentAt      time.Time
 	lastEventAt time.Time
 	started     bool
+	// isSilent means that it was found to be silent for too long since its last event.
+	isSilent bool
 	// startedAt is when the first event arrived. acquitted means that it was recorded that the
 	// parts do not crash servers.
 	startedAt time.Time
@@ -69,6 +71,8 @@
 	around atomic.Bool
 	helper string
 	cancel context.CancelCauseFunc
+	// silent, if set, is called repeatedly while the target sends nothing, with the time of the last event.
+	silent func(since time.Time, why error)
 }
 
 // attemptKey is the key of an attempt in the context of its request.
@@ -133,10 +137,14 @@
 	return s
 }
 
-// load returns the work of this daemon at s. The caller holds the lock.
+// load returns the work of this daemon at s, without attempts that have fallen silent. The caller holds
+// the lock.
 func (s *targetState) load() dispatch.Load {
 	var l dispatch.Load
 	for a := range s.attempts {
+		if a.isSilent {
+			continue
+		}
 		if a.started {
 			l.Writing++
 			continue
@@ -152,7 +160,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.target(a.target)
-	if len(s.attempts) == 0 {
+	if s.load() == (dispatch.Load{}) {
 		s.lastEventAt = a.sentAt
 	}
 	s.attempts[a] = struct{}{}
@@ -182,7 +190,7 @@
 			s.pace.Observe(a.engine, a.model, s.load().Add(b.workAtPeers(s.epoch, now).Load), pause, now)
 		}
 	}
-	s.lastEventAt, a.lastEventAt, a.started = now, now, true
+	s.lastEventAt, a.lastEventAt, a.started, a.isSilent = now, now, true, false
 	s.suspectUntil = time.Time{}
 	return pause
 }
@@ -358,13 +366,27 @@
 	return w
 }
 
-// runStallChecks cancels attempts whose replica has stalled, so that they are retried elsewhere.
+// isSilentSince returns whether a has had no event since a time.
+func (b *attemptTracker) isSilentSince(a *attempt, since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return a.lastEventAt.Equal(since)
+}
+
+// fellSilent returns whether the last that is known of a is that it is silent.
+func (b *attemptTracker) fellSilent(a *attempt) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return a.isSilent
+}
+
+// runStallChecks reports attempts whose replica has stalled, so that they are tried elsewhere as well.
 func (g *Gateway) runStallChecks(ctx context.Context) error {
 	for ctx.Err() == nil {
 		stalled, silent := g.tracker.checkStalls(time.Now(), g.paths.isLost)
 		for _, target := range stalled {
 			g.metrics.events.Add("stalls", 1)
-			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Msg("replica stalled; cancelling its attempts")
+			g.logger.Warn().Str("event", "replica_stalled").Str("group", target).Msg("replica stalled; its requests are tried elsewhere as well")
 		}
 		for _, address := range silent {
 			g.checkPath(address)
@@ -382,7 +404,7 @@
 	return min(max(stallPauseFactor*s.meanPause, minStallTimeout), maxStallTimeout)
 }
 
-// checkStalls cancels the attempts that have been silent for too long. It returns the targets that are
+// checkStalls reports the attempts that have been silent for too long. It returns the targets that are
 // newly stalled: those that are silent to all daemons with work there. It also returns the addresses of
 // those that are silent to this daemon, as it may have lost its paths to them, which isLost tells.
 func (b *attemptTracker) checkStalls(now time.Time, isLost func(address string) bool) (stalled, silent []string) {
@@ -398,31 +420,40 @@
 		if own > limit && s.address != "" {
 			silent = append(silent, s.address)
 		}
-		if all && !lost && !now.Before(s.suspectUntil) {
+		newlySilent := s.reportSilent(now, limit, all, lost)
+		if !all || lost || !newlySilent {
+			// What has been silent before says nothing new: it may have been answered on another path since.
+			continue
+		}
+		if !now.Before(s.suspectUntil) {
 			stalled = append(stalled, target)
 			s.checking = s.address != ""
 		}
-		s.cancelSilent(now, limit, all, lost)
-		if all && !lost {
-			s.suspectUntil = now.Add(suspectDuration)
-		}
+		s.suspectUntil = now.Add(suspectDuration)
 	}
 	return stalled, silent
 }
 
-// cancelSilent cancels the attempts of s that have been silent for longer than limit, if the target is
+// reportSilent reports the attempts of s that have been silent for longer than limit, if the target is
 // silent to all daemons or the path to it is lost, and those that have been silent for longer than any
-// caller waits.
-func (s *targetState) cancelSilent(now time.Time, limit time.Duration, all, lost bool) {
+// caller waits. It returns whether there is one that was not silent before.
+func (s *targetState) reportSilent(now time.Time, limit time.Duration, all, lost bool) (newlySilent bool) {
 	for a := range s.attempts {
-		if a.cancel == nil {
-			continue
-		}
+		why := error(nil)
 		switch pause := now.Sub(a.lastEventAt); {
 		case lost && !a.around.Load() && pause > limit:
-			a.cancel(errPathLost)
+			why = errPathLost
 		case all && pause > limit, pause > eventTimeout:
-			a.cancel(errStalled)
+			why = errStalled
+		}
+		if why == nil {
+			continue
+		}
+		newlySilent = newlySilent || !a.isSilent
+		a.isSilent = true
+		if a.silent != nil {
+			a.silent(a.lastEventAt, why)
 		}
 	}
+	return newlySilent
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -304,14 +304,17 @@
 func (g *Gateway) handleLostAttempt(ctx context.Context, c *call, a *attempt, server site.Server) {
 	found := "unknown"
 	switch {
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !g.tracker.fellSilent(a):
 		found = g.probeAfterLoss(c, a, server)
 	case errors.Is(context.Cause(ctx), errConvictedPart):
 		found = "not_probed"
+	case errors.Is(context.Cause(ctx), errOvertaken):
+		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
+		found = "overtaken"
 	case g.paths.reachedAround(server.Address):
 		found = "path_lost"
 	default:
-		// The caller left, or the server was silent for too long.
+		// The caller left, or the server was silent before: it may have failed long after it got the request.
 		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
 		g.enqueue(unansweredCheck{})
 	}
@@ -339,7 +342,7 @@
 		g.crashes.recordUnanswered(time.Now(), incarnationOf(server), c.fingerprint)
 		return "links_lost"
 	}
-	c.crashes++
+	c.crashes.Add(1)
 	g.recordCrash(crash, "")
 	return "crashed"
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -83,7 +83,6 @@
 	if !c.route.Repeatable() {
 		transport = g.singleUseTransport
 	}
-	c.sent++
 	var (
 		resp *http.Response
 		err  error
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,9 +59,9 @@
 	// crashes servers.
 	trial bool
 	// crashes counts the servers that crashed while they ran this request.
-	crashes int
-	// bufferedBytes is the memory held by large answers to this request.
-	bufferedBytes int64
+	crashes atomic.Int64
+	// buffers is the memory held by large answers to this request.
+	buffers bufferShare
 	// detail is the reason for a refusal or for the failure of the last attempt.
 	detail string
 	// endedBy says who ended the call; empty while it has a complete answer or was refused unsent.
@@ -282,14 +283,17 @@
 	return unavailable("backend_unavailable")
 }
 
-// mayRetry returns whether c may be sent once more. ran is whether the last attempt may have run.
-func (g *Gateway) mayRetry(c *call, ran bool) bool {
+// mayRepeat returns whether c may be sent once more, if the retry budget allows it. ran is whether the last
+// attempt may have run.
+func (g *Gateway) mayRepeat(c *call, ran bool) bool {
 	if c.sent >= maxSends || ran && (!c.route.Repeatable() || c.ran >= c.route.MaxAttempts) {
 		return false
 	}
-	if !g.crashes.mayRepeat(time.Now(), c.fingerprint, c.parts) {
-		return false
-	}
+	return g.crashes.mayRepeat(time.Now(), c.fingerprint, c.parts)
+}
+
+// takeRetry returns whether the retry budget allows c to be sent once more, and counts that if so.
+func (g *Gateway) takeRetry(c *call) bool {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
 	return g.retryBudget(c.service.Name).Allow(clock.Boot(), g.view.Load().Daemons)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
@@ -75,7 +76,7 @@
 		if err != nil {
 			c.detail, c.endedBy = err.Error(), endOf(ctx, err)
 		}
-		if ctx.Err() != nil || !g.mayRetry(c, s != notRun) {
+		if ctx.Err() != nil || !g.mayRepeat(c, s != notRun) || !g.takeRetry(c) {
 			g.endPlain(ctx, w, c, last, 0)
 			return
 		}
@@ -149,10 +150,11 @@
 		ctx, cancel = context.WithTimeout(ctx, plainAttemptTimeout)
 		defer cancel()
 	}
-	a := &attempt{target: server.ID, address: server.Address, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0}
+	a := &attempt{target: server.ID, address: server.Address, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes.Load() > 0}
 	a.lastEventAt = a.sentAt
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
+	c.sent++
 	resp, s, err := g.send(withAttempt(ctx, a), c, server, "")
 	c.recordHelper(a)
 	if s != answered {
@@ -210,18 +212,33 @@
 // reserveChunk reserves memory for one more chunk of an answer to c, and returns whether it was
 // available.
 func (g *Gateway) reserveChunk(c *call) bool {
+	c.buffers.mu.Lock()
+	defer c.buffers.mu.Unlock()
+	if c.buffers.released {
+		return false
+	}
 	if g.bufferedAnswerBytes.Add(answerChunkBytes) > maxBufferedAnswerBytes {
 		g.bufferedAnswerBytes.Add(-answerChunkBytes)
 		return false
 	}
-	c.bufferedBytes += answerChunkBytes
+	c.buffers.bytes += answerChunkBytes
 	return true
 }
 
+// A bufferShare is the memory that is reserved for the answers to one request. Once it is released, no
+// attempt reserves more.
+type bufferShare struct {
+	mu       sync.Mutex
+	bytes    int64
+	released bool
+}
+
 // releaseBuffers releases the memory reserved for answers to c.
 func (g *Gateway) releaseBuffers(c *call) {
-	g.bufferedAnswerBytes.Add(-c.bufferedBytes)
-	c.bufferedBytes = 0
+	c.buffers.mu.Lock()
+	defer c.buffers.mu.Unlock()
+	g.bufferedAnswerBytes.Add(-c.buffers.bytes)
+	c.buffers.bytes, c.buffers.released = 0, true
 }
 
 // writeAnswer writes a complete answer to the caller.
--- /dev/null
+++ b/gateway/silence_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// TestSilentAttemptsAccuseNobody guards against requests that are suspected because their server ended long
+// after it had fallen silent, for another reason.
+func TestSilentAttemptsAccuseNobody(t *testing.T) {
+	for name, want := range map[string]int{"silent": 0, "cut_off": 1} {
+		t.Run(name, func(t *testing.T) {
+			g, now := newController().gateway, time.Now()
+			g.startController()
+			defer g.system.Shutdown()
+			a := &attempt{target: "r", sentAt: now.Add(-time.Second), lastEventAt: now.Add(-time.Second)}
+			if name == "cut_off" {
+				a.sentAt, a.lastEventAt = now, now
+			}
+			g.tracker.add(a)
+			g.tracker.checkStalls(now, func(string) bool { return false })
+			g.handleLostAttempt(context.Background(), &call{service: &site.Service{Engine: &site.Engine{}}}, a, site.Server{ID: "s", Address: "127.0.0.1:1"})
+			require.Len(t, g.crashes.recent(time.Now()), want)
+		})
+	}
+}
+
+// TestSilentAttemptsSayNothingNew guards against a replica that gets no work because of requests that have
+// been silent for long, after another daemon or a new connection has reached it.
+func TestSilentAttemptsSayNothingNew(t *testing.T) {
+	var (
+		b      attemptTracker
+		now    = time.Now()
+		silent []string
+		notify = func(_ time.Time, why error) { silent = append(silent, fmt.Sprint(why)) }
+		sound  = func(string) bool { return false }
+	)
+	b.add(&attempt{target: "r", address: "a", epoch: 1, started: true, sentAt: now, lastEventAt: now, silent: notify})
+	stalled, _ := b.checkStalls(now.Add(time.Second), sound)
+	require.Equal(t, []string{"r"}, stalled)
+	require.Equal(t, []string{errStalled.Error()}, silent)
+	require.Equal(t, []string{"r"}, b.suspectTargets())
+	b.clearSuspectAt("a")
+	stalled, _ = b.checkStalls(now.Add(1100*time.Millisecond), sound)
+	require.Empty(t, stalled)
+	require.Len(t, silent, 2, "the call is still told")
+	require.Empty(t, b.suspectTargets())
+	require.Zero(t, b.targets["r"].load())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,11 +11,9 @@
 	"slices"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/trace"
-
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/hedge"
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -34,42 +32,41 @@
 	tried       []string
 	// endedWithoutEvents means that a server has ended its continuation of the stream without an event.
 	endedWithoutEvents bool
+	// failure is the failure that a server answered with, nil if none did.
+	failure *serverError
+	// race decides which attempts are kept, runs holds those that have not ended, by number.
+	race hedge.Race
+	runs map[int]*streamRun
+	// messages are what the attempts have to tell, silences those that have fallen silent. done is closed
+	// when the call has ended.
+	messages chan runMessage
+	silences chan silence
+	done     chan struct{}
 }
 
-// serveStream handles a call to a model.
+// serveStream handles a call to a model. An attempt whose replica falls silent goes on beside the next
+// one until either of them delivers.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
-	s := &stream{call: c, w: w, rc: http.NewResponseController(w), lastEventID: c.request.LastEventID}
+	s := newStream(w, c)
+	defer s.close()
+	if refused := g.startAttempt(ctx, s); refused != nil {
+		g.endStream(ctx, s, refused)
+		return
+	}
 	for {
-		replica, refused := g.chooseReplica(s)
-		if refused != nil {
-			g.endStream(ctx, s, refused)
-			return
-		}
-		if refused = g.beginTrial(c); refused != nil {
-			g.refuse(w, c, refused)
-			return
-		}
-		s.tried = append(s.tried, replica.Name)
-		c.servers = append(c.servers, replica.Name)
-		result, err := g.tryReplica(ctx, s, replica)
-		if err == nil {
-			c.endedBy = ""
-			g.crashes.acquit(c.fingerprint)
-			g.recordOutcome(c, http.StatusOK, "answered")
-			return
-		}
-		c.detail, c.endedBy = fmt.Sprintf("%s: %v", replica.Name, err), endOf(ctx, err)
-		if ctx.Err() != nil || !g.mayRetry(c, result != notRun) {
-			var failure *serverError
-			if errors.As(err, &failure) && !s.headersSent && ctx.Err() == nil {
-				g.writeAnswer(w, c, failure.answer)
+		select {
+		case m := <-s.messages:
+			if g.handleMessage(ctx, s, m) {
 				return
 			}
-			g.endStream(ctx, s, g.refuseParts(c))
+		case m := <-s.silences:
+			g.handleSilence(ctx, s, m)
+		case <-ctx.Done():
+			g.awaitRuns(s)
+			c.endedBy = endOf(ctx, nil)
+			g.endStream(ctx, s, nil)
 			return
 		}
-		g.logger.Info().Str("event", "retry").Str("request", c.request.Attempt).Str("why", c.detail).Str("last_event", s.lastEventID).
-			Int("ran", c.ran).Msg("attempt failed; retrying at another replica")
 	}
 }
 
@@ -78,7 +75,7 @@
 	c := s.call
 	if s.headersSent {
 		outcome := "broken_off"
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if c.endedBy == endedByCaller {
 			outcome = "caller_left"
 		}
 		g.recordOutcome(c, http.StatusOK, outcome)
@@ -87,7 +84,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case c.endedBy == endedByCaller:
 		refused = &refusal{status: http.StatusBadGateway, reason: "caller_left"}
 	case ctx.Err() != nil:
 		refused = c.timedOut()
@@ -203,54 +200,6 @@
 // Error returns the status.
 func (f *serverError) Error() string { return fmt.Sprintf("server answered %d", f.answer.status) }
 
-// tryReplica makes one attempt at the remaining part of s. It returns a nil error once the caller
-// has the whole answer.
-func (g *Gateway) tryReplica(ctx context.Context, s *stream, replica Replica) (attemptResult, error) {
-	c := s.call
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ctx, span := g.tracer.Start(ctx, "replica", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("replica", replica.Name)))
-	defer span.End()
-	a := &attempt{target: replica.Name, address: replica.Head.Address, epoch: replica.Epoch, work: c.request.Size, engine: c.service.Engine, model: replica.Model, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes > 0, cancel: cancel}
-	if c.firstEventDelay == 0 {
-		a.parts = c.parts
-	}
-	a.lastEventAt = a.sentAt
-	g.checkDispatch(replica)
-	g.tracker.add(a)
-	defer g.tracker.remove(a)
-	resp, result, err := g.send(withAttempt(ctx, a), c, replica.Head, s.lastEventID)
-	c.recordHelper(a)
-	if result != notRun {
-		c.ran++
-	}
-	if result != answered {
-		cause := context.Cause(ctx)
-		if !errors.Is(err, errWrongAttempt) && !isUnreached(err) && !isHelperLost(err) && !errors.Is(cause, context.Canceled) &&
-			!errors.Is(cause, errConvictedPart) && !errors.Is(cause, errPathLost) && !g.tracker.isBackingOff(replica.Head) {
-			g.tracker.markSuspect(a, time.Now())
-		}
-		if result == lost {
-			g.handleLostAttempt(ctx, c, a, replica.Head)
-		}
-		return result, causeOr(ctx, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return answered, g.readFailure(c, resp)
-	}
-	if err = g.forwardEvents(s, a, resp); err != nil {
-		mayBeComplete := errors.Is(err, errNoEvent) && s.lastEventID != ""
-		if ctx.Err() == nil && !mayBeComplete && !isHelperLost(err) {
-			g.tracker.markSuspect(a, time.Now())
-		}
-		g.handleLostAttempt(ctx, c, a, replica.Head)
-		return lost, causeOr(ctx, err)
-	}
-	g.recordBegun(a)
-	return answered, nil
-}
-
 // recordBegun records that the server of a began to answer it and did not crash.
 func (g *Gateway) recordBegun(a *attempt) {
 	if !a.acquitted && a.started {
@@ -305,9 +254,9 @@
 // errNoEvent means that a stream ended before its first event.
 var errNoEvent = errors.New("stream ended without an event")
 
-// forwardEvents forwards the events of an attempt to the caller. It forwards complete events only,
-// so that the stream can be continued by another replica.
-func (g *Gateway) forwardEvents(s *stream, a *attempt, resp *http.Response) error {
+// forwardEvents passes the events of run to its stream. It passes complete events only, so that the stream
+// can be continued by another replica.
+func (s *stream) forwardEvents(ctx context.Context, run *streamRun) error {
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -316,16 +265,16 @@
 			}
 			buffer = slices.Grow(buffer, cap(buffer))
 		}
-		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
+		n, err := run.resp.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if complete := bytes.LastIndex(buffer, eventEnd) + len(eventEnd); complete >= len(eventEnd) {
-			if writeErr := g.writeEvents(s, a, resp, buffer[:complete]); writeErr != nil {
+			if writeErr := s.deliver(ctx, run, buffer[:complete]); writeErr != nil {
 				return writeErr
 			}
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
 		if errors.Is(err, io.EOF) {
-			return s.end(a, resp, len(buffer))
+			return run.end(len(buffer))
 		}
 		if err != nil {
 			return err
@@ -333,18 +282,16 @@
 	}
 }
 
-// end ends s if the end of the body of a, with unread bytes after the last event, is the end of the
-// stream.
-func (s *stream) end(a *attempt, resp *http.Response, unread int) error {
+// end returns whether the end of the body of run, with unread bytes after the last event, is the end of
+// the stream.
+func (run *streamRun) end(unread int) error {
 	if unread > 0 {
 		return errPartialEvent
 	}
-	if !a.started && !s.endedWithoutEvents {
-		// The server may have crashed. An empty continuation counts if another server agrees.
-		s.endedWithoutEvents = s.lastEventID != ""
+	if !run.delivered && !run.emptyIsEnd {
+		// The server may have crashed.
 		return errNoEvent
 	}
-	s.sendHeaders(resp)
 	return nil
 }
 
