--- a/gateway/control.go
+++ b/gateway/control.go
@@ -54,6 +54,7 @@
 		failedTopics: make(map[string]bool), brokenEntries: make(map[string]int64), dirty: true,
 	}
 	c.leadership.dead, c.leadership.aliveAt = make(map[string]deadServer), make(map[string]time.Duration)
+	c.leadership.silent = make(map[string]silentServer)
 	c.leadership.candidate.Timeouts = tenureTimeouts
 	g.pid = g.system.Root.Spawn(actor.PropsFromFunc(c.receive))
 }
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -21,6 +21,9 @@
 	probeInterval = time.Second
 	// probeAttempts is the number of consecutive probes that a dead server leaves unanswered.
 	probeAttempts = 2
+	// maxBriefSilence is how long a server that accepts connections may answer no probe and still be sound:
+	// the second or so that the platform documents, and half of that.
+	maxBriefSilence = 1500 * time.Millisecond
 	// deadTTL is how long a server counts as dead: longer than the list of servers keeps the entry
 	// of one that has stopped writing it.
 	deadTTL = 6 * time.Second
@@ -57,12 +60,29 @@
 // server either.
 type serverUnreached struct{}
 
-// A probeResult reports whether a server that may be dead answered this daemon's probes.
+// A probeResult reports what this daemon's probes of a server that may be dead have found.
 type probeResult struct {
-	server   site.Server
-	answered bool
+	server  site.Server
+	finding probeFinding
+	// sentAt is when the first of the probes was sent.
+	sentAt time.Duration
 }
 
+// A probeFinding is what probes of a server have found.
+type probeFinding int
+
+// The findings.
+const (
+	// probeUnreached means that the server accepts no connections.
+	probeUnreached probeFinding = iota
+	// probeSilent means that it accepts connections and answers nothing.
+	probeSilent
+	// probeReplaced means that another incarnation or another server answered.
+	probeReplaced
+	// probeAlive means that the server answered.
+	probeAlive
+)
+
 // A deadServer is a server that is still listed but answers no probes.
 type deadServer struct {
 	born          int64
@@ -70,6 +90,12 @@
 	failureDomain string
 }
 
+// A silentServer is a server that accepts connections and answers no probe.
+type silentServer struct {
+	// since is when the first probe was sent that it did not answer, lastAt when the last one ended.
+	since, lastAt time.Duration
+}
+
 // leadership is the state of this daemon as a candidate and as the leader.
 type leadership struct {
 	candidate tenure.Candidate
@@ -98,6 +124,8 @@
 	polledAt map[string]time.Duration
 	aliveAt  map[string]time.Duration
 	dead     map[string]deadServer
+	// silent holds the servers that accept connections and have answered no probe.
+	silent map[string]silentServer
 }
 
 // tenureTimeouts are the times that separate one leader from the next. A leader's heartbeats come
@@ -187,6 +215,7 @@
 	}
 	c.gateway.logger.Info().Str("event", "leadership").Int64("term", term).Dur("until", l.candidate.LeaseExpiry()-now).Msg("this daemon started or stopped leading")
 	l.planner, l.probedAt, l.aliveAt, l.polledAt = nil, make(map[string]time.Duration), make(map[string]time.Duration), make(map[string]time.Duration)
+	l.silent = make(map[string]silentServer)
 	if leads {
 		l.planner = formation.New(term, now)
 		l.term = term
@@ -462,8 +491,8 @@
 		targets = append(targets, probeTarget{ID: s.ID, Address: s.Address, Born: s.Born})
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
 			began := clock.Boot()
-			answered := g.answersProbe(ctx, s)
-			if !answered {
+			finding := g.probeServer(ctx, s)
+			if finding != probeAlive {
 				// Other hubs probe for just as long, and their results may still be in flight.
 				clock.Sleep(ctx, peerProbeMargin)
 				if !g.ownLinksWork(ctx, s.Address, began) {
@@ -472,7 +501,10 @@
 					return nil
 				}
 			}
-			g.enqueue(probeResult{server: s, answered: answered})
+			if finding == probeUnreached && (g.testPath(ctx, s.Address) || g.testAround(ctx, s.Address)) {
+				finding = probeSilent
+			}
+			g.enqueue(probeResult{server: s, finding: finding, sentAt: began})
 			return nil
 		})
 	}
@@ -482,19 +514,22 @@
 // peerProbeMargin is the time for the round trip to another hub.
 const peerProbeMargin = 100 * time.Millisecond
 
-// answersProbe returns whether a server answers this daemon's probes.
-func (g *Gateway) answersProbe(ctx context.Context, s site.Server) bool {
+// probeServer sends probes to a server until it answers one. It does not find out whether a server that
+// answers none accepts connections.
+func (g *Gateway) probeServer(ctx context.Context, s site.Server) probeFinding {
 	for range probeAttempts {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
 		g.metrics.events.Add("probes", 1)
 		now, err := g.engines.Report(attempt, s)
 		cancel()
-		if err == nil {
-			// A server that has restarted is not the one that was probed.
-			return s.Born == 0 || now.Born == s.Born
+		switch {
+		case err == nil && (s.Born == 0 || now.Born == s.Born):
+			return probeAlive
+		case err == nil || platform.IsOtherServer(err):
+			return probeReplaced
 		}
 	}
-	return false
+	return probeUnreached
 }
 
 // A peerProbeResult lists servers that answered another hub.
@@ -516,16 +551,21 @@
 
 // applyProbe applies the result of this daemon's probes of a server.
 func (c *controller) applyProbe(now time.Duration, m probeResult) {
-	_, known := c.leadership.dead[m.server.ID]
-	at, alive := c.leadership.aliveAt[m.server.ID]
-	if m.answered {
-		c.leadership.unreachedSince = 0
+	l, id := &c.leadership, m.server.ID
+	_, known := l.dead[id]
+	at, alive := l.aliveAt[id]
+	if m.finding == probeAlive {
+		l.unreachedSince = 0
 	}
-	if m.answered || alive && now-at < aliveTTL {
-		delete(c.leadership.dead, m.server.ID)
+	if m.finding == probeAlive || alive && now-at < aliveTTL {
+		delete(l.dead, id)
+		delete(l.silent, id)
 		c.dirty = c.dirty || known
 		return
 	}
+	if m.finding == probeSilent && !known && c.isBrieflySilent(now, m) {
+		return
+	}
 	c.leadership.dead[m.server.ID] = deadServer{born: m.server.Born, detectedAt: now, failureDomain: m.server.FailureDomain}
 	c.dirty = c.servers.dropCutOff(m.server.ID) || c.dirty
 	if !known {
@@ -536,6 +576,21 @@
 	}
 }
 
+// isBrieflySilent returns whether a server that answered no probe, although it accepts connections, may go on
+// in a moment.
+func (c *controller) isBrieflySilent(now time.Duration, m probeResult) bool {
+	s, known := c.leadership.silent[m.server.ID]
+	if !known || m.sentAt-s.lastAt > 2*probeInterval {
+		s.since = m.sentAt
+		c.gateway.metrics.events.Add("servers_silent", 1)
+		c.gateway.logger.Info().Str("event", "server_silent").Str("server", m.server.ID).Str("group", m.server.Member.Group).
+			Msg("server accepts connections and answers no probe; not counted as dead yet")
+	}
+	s.lastAt = now
+	c.leadership.silent[m.server.ID] = s
+	return now-s.since < maxBriefSilence
+}
+
 // clearDeadInDomain clears the dead servers of a failure domain when another server of it is listed
 // again after its entry had lapsed: the whole failure domain may have been unreachable.
 func (c *controller) clearDeadInDomain(failureDomain string) {
@@ -554,6 +609,7 @@
 func (c *controller) expireProbeState(now time.Duration) {
 	maps.DeleteFunc(c.leadership.polledAt, func(_ string, at time.Duration) bool { return now-at > reportPollInterval })
 	maps.DeleteFunc(c.leadership.probedAt, func(_ string, at time.Duration) bool { return now-at > probeInterval })
+	maps.DeleteFunc(c.leadership.silent, func(_ string, s silentServer) bool { return now-s.lastAt > deadTTL })
 	maps.DeleteFunc(c.leadership.aliveAt, func(_ string, at time.Duration) bool { return now-at >= aliveTTL })
 	for id, d := range c.leadership.dead {
 		e, ok := c.servers.entries[id]
--- a/gateway/lead_test.go
+++ b/gateway/lead_test.go
@@ -26,7 +26,7 @@
 		}, true},
 		{"probe_answered_since", func(c *controller, now time.Duration) {
 			c.recordUnreached(now - isolationTimeout)
-			c.applyProbe(now, probeResult{answered: true})
+			c.applyProbe(now, probeResult{finding: probeAlive})
 		}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -35,7 +35,7 @@
 func (g *Gateway) probeForPeer(m peerMessage) {
 	for _, t := range m.ProbeTargets {
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
-			if !g.answersProbe(ctx, site.Server{ID: t.ID, Address: t.Address, Born: t.Born}) {
+			if g.probeServer(ctx, site.Server{ID: t.ID, Address: t.Address, Born: t.Born}) != probeAlive {
 				return nil
 			}
 			g.peers.mu.Lock()
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -11,6 +11,41 @@
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
+// TestSilentServerIsNotDead guards against a sound server that is silent for a second and counted as dead
+// (LOST), and against a dead one that is waited for.
+func TestSilentServerIsNotDead(t *testing.T) {
+	type probe struct {
+		sentAt, endedAt time.Duration
+		finding         probeFinding
+	}
+	const s, ms = time.Second, time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		probes []probe
+		want   bool
+	}{
+		{"unreached", []probe{{0, 600 * ms, probeUnreached}}, true},
+		{"replaced", []probe{{0, 10 * ms, probeReplaced}}, true},
+		{"silent", []probe{{0, 600 * ms, probeSilent}}, false},
+		{"silent_for_too_long", []probe{{0, 600 * ms, probeSilent}, {s, 1600 * ms, probeSilent}}, true},
+		{"silent_then_unreached", []probe{{0, 600 * ms, probeSilent}, {s, 1300 * ms, probeUnreached}}, true},
+		{"answered_between", []probe{{0, 600 * ms, probeSilent}, {s, s, probeAlive}, {2 * s, 2600 * ms, probeSilent}}, false},
+		{"silent_long_ago", []probe{{0, 600 * ms, probeSilent}, {5 * s, 5600 * ms, probeSilent}}, false},
+		{"dead_and_silent", []probe{{0, 600 * ms, probeUnreached}, {s, 1600 * ms, probeSilent}}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController()
+			c.leadership.dead, c.leadership.aliveAt = make(map[string]deadServer), make(map[string]time.Duration)
+			c.leadership.silent = make(map[string]silentServer)
+			for _, p := range tc.probes {
+				c.applyProbe(time.Hour+p.endedAt, probeResult{server: site.Server{ID: "s", Born: 1}, finding: p.finding, sentAt: time.Hour + p.sentAt})
+			}
+			_, dead := c.leadership.dead["s"]
+			require.Equal(t, tc.want, dead)
+		})
+	}
+}
+
 // TestSilentAttemptsAccuseNobody guards against requests that are suspected because their server ended long
 // after it had fallen silent, for another reason.
 func TestSilentAttemptsAccuseNobody(t *testing.T) {
