--- a/gateway/board.go
+++ b/gateway/board.go
@@ -373,11 +373,11 @@
 	return a.lastEventAt.Equal(since)
 }
 
-// fellSilent returns whether the last that is known of a is that it is silent.
+// fellSilent returns whether the last that is known of a, an attempt at a stream, is that it is silent.
 func (b *attemptTracker) fellSilent(a *attempt) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return a.isSilent
+	return a.isSilent && a.engine != nil
 }
 
 // runStallChecks reports attempts whose replica has stalled, so that they are tried elsewhere as well.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/coordination/hedge"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
@@ -45,39 +46,164 @@
 	body   []byte
 }
 
-// servePlain handles a call to a plain service.
+// A plainCall is a call to a plain service and the attempts at it.
+type plainCall struct {
+	call *call
+	// tried are the ids of the servers that were tried, last is the failure that a server answered with.
+	tried []string
+	last  *plainAnswer
+	// race decides which attempts are kept, runs holds those that have not ended, by number.
+	race hedge.Race
+	runs map[int]*plainRun
+	// ends are the ends of attempts, silences the numbers of those that have not answered for a while.
+	// done is closed when the call has ended.
+	ends     chan plainEnd
+	silences chan int
+	done     chan struct{}
+}
+
+// A plainRun is one attempt at a plain call, in a goroutine of its own.
+type plainRun struct {
+	number  int
+	server  site.Server
+	attempt *attempt
+	try     try
+}
+
+// A plainEnd is the end of an attempt. The answer is nil unless the result is answered.
+type plainEnd struct {
+	run    *plainRun
+	answer *plainAnswer
+	result attemptResult
+	err    error
+}
+
+// servePlain handles a call to a plain service. An attempt that is not answered for a while goes on beside
+// the next one.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
-	var (
-		tried []string
-		last  *plainAnswer
-	)
-	for {
-		server, ok, backoff := g.choosePlain(c, tried)
-		if !ok {
-			g.endPlain(ctx, w, c, last, backoff)
-			return
-		}
-		tried = append(tried, server.ID)
-		c.servers = append(c.servers, server.ID)
-		answer, s, err := g.sendPlain(ctx, c, server)
-		if s != notRun {
-			c.ran++
-		}
-		if s == answered && answer.status < http.StatusInternalServerError {
-			g.crashes.acquit(c.fingerprint)
-		}
-		if s == answered && (answer.status < http.StatusInternalServerError || !c.route.Repeatable()) {
-			g.writeAnswer(w, c, answer)
+	p := &plainCall{call: c, runs: make(map[int]*plainRun), ends: make(chan plainEnd), silences: make(chan int, maxSends), done: make(chan struct{})}
+	defer p.close()
+	backoff := g.startPlain(ctx, p)
+	for p.race.Open() > 0 {
+		select {
+		case m := <-p.ends:
+			live := p.race.Live(m.run.number)
+			if p.record(m); !live {
+				continue
+			}
+			if m.result == answered && (m.answer.status < http.StatusInternalServerError || !c.route.Repeatable()) {
+				g.completePlain(w, c, m.answer)
+				return
+			}
+			if p.fail(ctx, m) == hedge.TryAnother && ctx.Err() == nil && g.mayRepeat(c, m.result != notRun) && g.takeRetry(c) {
+				backoff = g.startPlain(ctx, p)
+			}
+		case n := <-p.silences:
+			g.handlePlainSilence(ctx, p, n)
+		case <-ctx.Done():
+			p.awaitRuns()
+			c.endedBy = endOf(ctx, nil)
+			g.endPlain(ctx, w, c, p.last, 0)
 			return
 		}
-		if answer != nil {
-			last = answer
+	}
+	g.endPlain(ctx, w, c, p.last, backoff)
+}
+
+// completePlain answers a call with the answer of a server.
+func (g *Gateway) completePlain(w http.ResponseWriter, c *call, answer *plainAnswer) {
+	if answer.status < http.StatusInternalServerError {
+		g.crashes.acquit(c.fingerprint)
+	}
+	g.writeAnswer(w, c, answer)
+}
+
+// handlePlainSilence tries another server beside one that has not answered for a while, if the call may be
+// sent once more. Otherwise the silent one goes on alone.
+func (g *Gateway) handlePlainSilence(ctx context.Context, p *plainCall, number int) {
+	run, ok := p.runs[number]
+	if !ok || p.race.Silent(number) == hedge.Wait {
+		return
+	}
+	g.checkPath(run.server.Address)
+	g.tracker.markSuspect(run.attempt, time.Now())
+	p.call.mayHaveRun(&run.try)
+	if g.mayRepeat(p.call, true) && g.takeRetry(p.call) {
+		g.startPlain(ctx, p)
+	}
+}
+
+// fail records an attempt that ended without the answer to the call.
+func (p *plainCall) fail(ctx context.Context, m plainEnd) hedge.Step {
+	p.last = cmp.Or(m.answer, p.last)
+	if m.err != nil {
+		p.call.detail, p.call.endedBy = m.err.Error(), endOf(ctx, m.err)
+	}
+	return p.race.Ended(m.run.number)
+}
+
+// startPlain starts an attempt at p at the best server that was not tried yet, if there is one. If not, the
+// duration is the time until the first backing-off server accepts requests again.
+func (g *Gateway) startPlain(ctx context.Context, p *plainCall) time.Duration {
+	c := p.call
+	server, ok, backoff := g.choosePlain(c, p.tried)
+	if !ok {
+		return backoff
+	}
+	p.tried, c.servers = append(p.tried, server.ID), append(c.servers, server.ID)
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{target: server.ID, address: server.Address, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes.Load() > 0, cancel: cancel}
+	a.lastEventAt = a.sentAt
+	run := &plainRun{number: p.race.Start(), server: server, attempt: a}
+	p.runs[run.number] = run
+	var silent *time.Timer
+	if c.route.Repeatable() {
+		silent = time.AfterFunc(plainSilence, func() { p.silences <- run.number })
+	}
+	g.tracker.add(a)
+	c.sent++
+	g.work.Go(ctx, "attempt", func(ctx context.Context) error {
+		defer cancel(nil)
+		answer, result, err := g.sendPlain(ctx, c, a, server)
+		if silent != nil {
+			silent.Stop()
 		}
-		if err != nil {
-			c.detail, c.endedBy = err.Error(), endOf(ctx, err)
+		g.tracker.remove(a)
+		select {
+		case p.ends <- plainEnd{run: run, answer: answer, result: result, err: err}:
+		case <-p.done:
 		}
-		if ctx.Err() != nil || !g.mayRepeat(c, s != notRun) || !g.takeRetry(c) {
-			g.endPlain(ctx, w, c, last, 0)
+		return nil
+	})
+	return 0
+}
+
+// record counts the end of an attempt.
+func (p *plainCall) record(m plainEnd) {
+	delete(p.runs, m.run.number)
+	p.call.recordHelper(m.run.attempt)
+	p.call.recordResult(&m.run.try, m.result)
+}
+
+// close ends the attempts that are under way.
+func (p *plainCall) close() {
+	close(p.done)
+	for _, run := range p.runs {
+		run.attempt.cancel(errOvertaken)
+	}
+}
+
+// awaitRuns waits for the ends of the attempts after the context of the call has ended, as those of streams.
+func (p *plainCall) awaitRuns() {
+	timeout := time.After(runEndTimeout)
+	for len(p.runs) > 0 {
+		select {
+		case m := <-p.ends:
+			p.record(m)
+		case <-timeout:
+			for _, run := range p.runs {
+				p.call.mayHaveRun(&run.try)
+			}
 			return
 		}
 	}
@@ -139,35 +265,24 @@
 	return 0
 }
 
-// plainAttemptTimeout bounds one attempt at an idempotent call to a plain service while another
-// attempt is still permitted.
-const plainAttemptTimeout = 700 * time.Millisecond
+// plainSilence is how long an idempotent call to a plain service waits for the answer of one server before
+// another one is tried as well.
+const plainSilence = 700 * time.Millisecond
 
-// sendPlain makes one attempt at c.
-func (g *Gateway) sendPlain(ctx context.Context, c *call, server site.Server) (*plainAnswer, attemptResult, error) {
-	if c.route.Repeatable() && c.ran+1 < c.route.MaxAttempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, plainAttemptTimeout)
-		defer cancel()
-	}
-	a := &attempt{target: server.ID, address: server.Address, fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes.Load() > 0}
-	a.lastEventAt = a.sentAt
-	g.tracker.add(a)
-	defer g.tracker.remove(a)
-	c.sent++
+// sendPlain makes attempt a at c.
+func (g *Gateway) sendPlain(ctx context.Context, c *call, a *attempt, server site.Server) (*plainAnswer, attemptResult, error) {
 	resp, s, err := g.send(withAttempt(ctx, a), c, server, "")
-	c.recordHelper(a)
 	if s != answered {
 		if errors.Is(err, context.DeadlineExceeded) {
 			g.checkPath(server.Address)
 		}
-		if !errors.Is(err, errNotRun) && !isUnreached(err) && !isHelperLost(err) {
+		if !errors.Is(err, errNotRun) && !isUnreached(err) && !isHelperLost(err) && !isGivenUp(context.Cause(ctx)) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		if s == lost {
 			g.handleLostAttempt(ctx, c, a, server)
 		}
-		return nil, s, err
+		return nil, s, causeOr(ctx, err)
 	}
 	defer resp.Body.Close()
 	answer, err := g.readAnswer(c, resp)
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -34,8 +34,7 @@
 	// goroutine uses them before its end.
 	delivered bool
 	resp      *http.Response
-	// counted means that the call counts the attempt as one that may have run.
-	counted bool
+	try       try
 	// nextRetryAt is when its silence is next a reason to start another attempt.
 	nextRetryAt time.Time
 	// written receives the result of writing the events that were passed last.
@@ -272,10 +271,30 @@
 	c := s.call
 	delete(s.runs, m.run.number)
 	c.recordHelper(m.run.attempt)
-	switch {
-	case m.result != notRun && !m.run.counted:
+	c.recordResult(&m.run.try, m.result)
+}
+
+// A try is what a call counts of one attempt.
+type try struct {
+	// counted means that the call counts the attempt as one that may have run.
+	counted bool
+}
+
+// mayHaveRun counts the attempt of t as one that may have run.
+func (c *call) mayHaveRun(t *try) {
+	if !t.counted {
+		t.counted = true
 		c.ran++
-	case m.result == notRun && m.run.counted:
+	}
+}
+
+// recordResult counts the attempt of t as one that may have run, unless its result proves that it did not.
+func (c *call) recordResult(t *try, result attemptResult) {
+	switch {
+	case result != notRun:
+		c.mayHaveRun(t)
+	case t.counted:
+		t.counted = false
 		c.ran--
 	}
 }
@@ -297,10 +316,7 @@
 			}
 		case <-timeout:
 			for _, run := range s.runs {
-				if !run.counted {
-					run.counted = true
-					s.call.ran++
-				}
+				s.call.mayHaveRun(&run.try)
 			}
 			return
 		}
@@ -327,10 +343,7 @@
 		return
 	}
 	run.nextRetryAt = now.Add(silentRetryInterval)
-	if !run.counted {
-		run.counted = true
-		s.call.ran++
-	}
+	s.call.mayHaveRun(&run.try)
 	// Without another attempt, the silent one goes on alone.
 	g.retry(ctx, s, true, fmt.Sprintf("%s: %v", run.replica.Name, m.why))
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -54,7 +54,7 @@
 			g, now := newController().gateway, time.Now()
 			g.startController()
 			defer g.system.Shutdown()
-			a := &attempt{target: "r", sentAt: now.Add(-time.Second), lastEventAt: now.Add(-time.Second)}
+			a := &attempt{target: "r", engine: &site.Engine{}, sentAt: now.Add(-time.Second), lastEventAt: now.Add(-time.Second)}
 			if name == "cut_off" {
 				a.sentAt, a.lastEventAt = now, now
 			}
