--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -268,6 +268,9 @@
 
 // readFailure reads the failure that a server answered with.
 func (g *Gateway) readFailure(c *call, resp *http.Response) error {
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return checkStream(resp.StatusCode, resp.Header)
+	}
 	answer, err := g.readAnswer(c, resp)
 	if err != nil {
 		return err
@@ -307,6 +310,9 @@
 // forwardEvents forwards the events of an attempt to the caller. It forwards complete events only,
 // so that the stream can be continued by another replica.
 func (g *Gateway) forwardEvents(s *stream, a *attempt, resp *http.Response) error {
+	if err := checkStream(resp.StatusCode, resp.Header); err != nil {
+		return err
+	}
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buffer) == cap(buffer) {
