--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -297,9 +296,6 @@
 	maxEventBytes = 64 << 10
 )
 
-// eventEnd terminates an event of a stream.
-var eventEnd = []byte("\n\n")
-
 // errPartialEvent means that a stream ended in the middle of an event, so that it is incomplete even
 // if its connection was closed cleanly.
 var errPartialEvent = errors.New("stream ended in the middle of an event")
@@ -313,6 +309,7 @@
 	if err := checkStream(resp.StatusCode, resp.Header); err != nil {
 		return err
 	}
+	events := eventScanner{VersionField: platform.VersionField, LastID: s.lastEventID}
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -323,14 +320,19 @@
 		}
 		n, err := resp.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		if complete := bytes.LastIndex(buffer, eventEnd) + len(eventEnd); complete >= len(eventEnd) {
+		complete, malformed := events.Scan(buffer)
+		if complete > 0 {
 			if writeErr := g.writeEvents(s, a, resp, buffer[:complete]); writeErr != nil {
 				return writeErr
 			}
+			s.lastEventID = events.LastID
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
+		if malformed != nil {
+			return malformed
+		}
 		if errors.Is(err, io.EOF) {
-			return s.end(a, resp, len(buffer))
+			return s.end(a, resp, events.Partial)
 		}
 		if err != nil {
 			return err
@@ -338,10 +340,10 @@
 	}
 }
 
-// end ends s if the end of the body of a, with unread bytes after the last event, is the end of the
+// end ends s if the end of the body of a, which is inside an event if partial is set, is the end of the
 // stream.
-func (s *stream) end(a *attempt, resp *http.Response, unread int) error {
-	if unread > 0 {
+func (s *stream) end(a *attempt, resp *http.Response, partial bool) error {
+	if partial {
 		return errPartialEvent
 	}
 	if !a.started && !s.endedWithoutEvents {
@@ -374,9 +376,6 @@
 	if err := s.rc.Flush(); err != nil {
 		return fmt.Errorf("write events to caller: %w", err)
 	}
-	if id, ok := findLastEventID(events); ok {
-		s.lastEventID = id
-	}
 	return nil
 }
 
@@ -403,18 +402,3 @@
 	}
 	s.w.WriteHeader(resp.StatusCode)
 }
-
-// findLastEventID returns the id of the last event that has one.
-func findLastEventID(events []byte) (string, bool) {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		events = events[at+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return "", false
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
-}
