--- a/gateway/events.go
+++ b/gateway/events.go
@@ -38,7 +38,8 @@
 var errMalformedEvent = errors.New("malformed event")
 
 // An eventScanner finds the events in the bytes of a stream. Lines end with a line feed. A carriage return,
-// which callers would take for the end of a line, is malformed. An event has data and one id, a decimal number.
+// which callers would take for the end of a line, is malformed. An event has data and one id, a decimal number
+// above that of the event before. Ids may leave gaps, as nothing promises that they are consecutive.
 type eventScanner struct {
 	// VersionField is the name of a field with a number, which may be on the first line of an event.
 	VersionField string
@@ -68,6 +69,8 @@
 		e    event
 	)
 	s.Partial = len(data) > 0
+	// A caller may have sent any id: without a number it bounds nothing.
+	last, notAfter := strconv.ParseUint(s.LastID, 10, 64)
 	for {
 		end := bytes.IndexByte(data[next:], '\n')
 		if end < 0 {
@@ -83,10 +86,13 @@
 		}
 		s.Partial = next < len(data)
 		if e.fields > 0 {
-			if err = e.check(); err != nil {
+			if err = e.check(); err == nil && notAfter == nil && e.number <= last {
+				err = fmt.Errorf("event %q does not follow", e.id)
+			}
+			if err != nil {
 				return length, lastID, err
 			}
-			length, lastID = next, e.id
+			length, lastID, last, notAfter = next, e.id, e.number, nil
 		}
 		e = event{}
 	}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -114,3 +115,59 @@
 		})
 	}
 }
+
+// FuzzEventScanner checks that callers find valid events, whose ids increase, in what is passed on, and that it does
+// not depend on how the bytes arrive.
+func FuzzEventScanner(f *testing.F) {
+	f.Add([]byte("id: 8\ndata: x\n\nid: 9\ndata: y\n\n"), 20)
+	f.Add([]byte("version: 2\nid: 8\ndata: x\n\ninternal error\n\n"), 12)
+	f.Add([]byte("id: 8\ndata: x\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\n{}"), 30)
+	f.Add([]byte(": ping\n\nretry: 5\n\nid: 8\nevent\ndata\n\nid: 8\ndata: y\n\n"), 9)
+	f.Add([]byte("id: 8\ndata: x\rid: 1\n\n"), 7)
+	f.Fuzz(func(t *testing.T, data []byte, split int) {
+		whole := eventScanner{VersionField: "version", LastID: "7"}
+		length, err := whole.Scan(data)
+		requireEvents(t, string(data[:length]), 7)
+
+		inParts := eventScanner{VersionField: "version", LastID: "7"}
+		split = min(max(split, 0), len(data))
+		first, firstErr := inParts.Scan(data[:split])
+		if firstErr == nil {
+			var second int
+			second, firstErr = inParts.Scan(data[first:])
+			first += second
+		}
+		require.Equal(t, length, first)
+		require.Equal(t, err, firstErr)
+		require.Equal(t, whole, inParts)
+	})
+}
+
+// requireEvents checks that body consists of events with data and with increasing ids above last, as a caller
+// reads them: a carriage return also ends a line.
+func requireEvents(t *testing.T, body string, last uint64) {
+	t.Helper()
+	body = strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(body)
+	require.True(t, body == "" || strings.HasSuffix(body, "\n\n"))
+	for block := range strings.SplitSeq(body, "\n\n") {
+		var ids, data int
+		for line := range strings.SplitSeq(block, "\n") {
+			name, value, _ := strings.Cut(line, ":")
+			switch name {
+			case "id":
+				id, err := strconv.ParseUint(strings.TrimPrefix(value, " "), 10, 64)
+				require.NoError(t, err)
+				require.Greater(t, id, last)
+				last = id
+				ids++
+			case "data":
+				data++
+			case "event", "version":
+				require.Contains(t, block, "data", "a field of an event")
+			default:
+				require.Contains(t, []string{"", "retry"}, name)
+			}
+		}
+		require.Equal(t, ids, min(data, 1), "one id for each event with data")
+	}
+}
