--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,7 +31,8 @@
 	lastEventID string
 	lastEventAt time.Time
 	tried       []string
-	// endedWithoutEvents means that a server has ended its continuation of the stream without an event.
+	// endedWithoutEvents means that a server has ended its continuation after the last event without
+	// another one.
 	endedWithoutEvents bool
 }
 
@@ -325,7 +326,7 @@
 			if writeErr := g.writeEvents(s, a, resp, buffer[:complete]); writeErr != nil {
 				return writeErr
 			}
-			s.lastEventID = events.LastID
+			s.lastEventID, s.endedWithoutEvents = events.LastID, false
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
 		if malformed != nil {
