--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -56,6 +56,8 @@
 	// End means that the answer of the server is complete, Broken that it is lost or broke off.
 	End    bool `cbor:"6,keyasint,omitempty"`
 	Broken bool `cbor:"7,keyasint,omitempty"`
+	// Framed means that the body has a length or chunks. It comes with Status.
+	Framed bool `cbor:"8,keyasint,omitempty"`
 }
 
 // A detourRefusal is why a daemon does not pass on a request.
@@ -167,9 +169,13 @@
 		}
 		return nil, g.unreachable(address, direct, reason)
 	}
+	var encoding []string
+	if answer.head.Framed {
+		encoding = []string{"chunked"}
+	}
 	return &http.Response{
 		Status: http.StatusText(answer.head.Status), StatusCode: answer.head.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: answer.head.Header, ContentLength: -1, Request: req, Body: &detourBody{ctx: ctx, exchange: answer.exchange},
+		Header: answer.head.Header, ContentLength: -1, TransferEncoding: encoding, Request: req, Body: &detourBody{ctx: ctx, exchange: answer.exchange},
 	}, nil
 }
 
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -66,7 +66,7 @@
 	if q.Call {
 		g.recordNotice(&call{request: platform.Request{Attempt: platform.AttemptID(q.Header)}}, server, platform.DecodeResponse(resp.StatusCode, resp.Header).Notice)
 	}
-	if send(detourPart{Status: resp.StatusCode, Header: resp.Header}) == nil {
+	if send(detourPart{Status: resp.StatusCode, Header: resp.Header, Framed: isFramed(resp)}) == nil {
 		g.passBack(resp, send)
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -344,10 +344,13 @@
 // end ends s if the end of the body of a, which is inside an event if partial is set, is the end of the
 // stream.
 func (s *stream) end(a *attempt, resp *http.Response, partial bool) error {
-	if partial {
+	switch {
+	case partial:
 		return errPartialEvent
-	}
-	if !a.started && !s.endedWithoutEvents {
+	case !a.started && !isFramed(resp):
+		// A server that crashes closes its connections, so that it ends such a response too.
+		return errNoEvent
+	case !a.started && !s.endedWithoutEvents:
 		// The server may have crashed. An empty continuation counts if another server agrees.
 		s.endedWithoutEvents = s.lastEventID != ""
 		return errNoEvent
@@ -356,6 +359,12 @@
 	return nil
 }
 
+// isFramed returns whether the body of a response has a length or chunks, and does not end with its
+// connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // writeEvents writes complete events to the caller.
 func (g *Gateway) writeEvents(s *stream, a *attempt, resp *http.Response, events []byte) error {
 	first := !a.started
