--- a/gateway/race.go
+++ b/gateway/race.go
@@ -45,6 +45,8 @@
 type runMessage struct {
 	run    *streamRun
 	events []byte
+	// lastID is the id of the last of the events.
+	lastID string
 	ended  bool
 	result attemptResult
 	err    error
@@ -166,11 +168,12 @@
 // errCallerGone means that events could not be written to the caller.
 var errCallerGone = errors.New("caller does not read its answer")
 
-// deliver passes complete events of run to s, and waits until they are written.
-func (s *stream) deliver(ctx context.Context, run *streamRun, events []byte) error {
+// deliver passes complete events of run, up to the one with the id lastID, to s, and waits until they are
+// written.
+func (s *stream) deliver(ctx context.Context, run *streamRun, events []byte, lastID string) error {
 	run.delivered = true
 	select {
-	case s.messages <- runMessage{run: run, events: events}:
+	case s.messages <- runMessage{run: run, events: events, lastID: lastID}:
 		return <-run.written
 	case <-ctx.Done():
 		return context.Cause(ctx)
@@ -193,6 +196,7 @@
 	}
 	err := g.writeEvents(s, m.run.attempt, m.run.resp, m.events)
 	if err == nil {
+		s.lastEventID, s.endedWithoutEvents = m.lastID, false
 		m.run.written <- nil
 		return false
 	}
@@ -218,7 +222,7 @@
 		return true
 	}
 	c.detail, c.endedBy = fmt.Sprintf("%s: %v", m.run.replica.Name, m.err), endOf(ctx, m.err)
-	if errors.Is(m.err, errNoEvent) {
+	if errors.Is(m.err, errNoEvent) && isFramed(m.run.resp) {
 		// An empty continuation counts if another server agrees.
 		s.endedWithoutEvents = s.lastEventID != ""
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -30,7 +29,8 @@
 	lastEventID string
 	lastEventAt time.Time
 	tried       []string
-	// endedWithoutEvents means that a server has ended its continuation of the stream without an event.
+	// endedWithoutEvents means that a server has ended its continuation after the last event without
+	// another one.
 	endedWithoutEvents bool
 	// failure is the failure that a server answered with, nil if none did.
 	failure *serverError
@@ -218,6 +218,9 @@
 
 // readFailure reads the failure that a server answered with.
 func (g *Gateway) readFailure(c *call, resp *http.Response) error {
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return checkStream(resp.StatusCode, resp.Header)
+	}
 	answer, err := g.readAnswer(c, resp)
 	if err != nil {
 		return err
@@ -244,9 +247,6 @@
 	maxEventBytes = 64 << 10
 )
 
-// eventEnd terminates an event of a stream.
-var eventEnd = []byte("\n\n")
-
 // errPartialEvent means that a stream ended in the middle of an event, so that it is incomplete even
 // if its connection was closed cleanly.
 var errPartialEvent = errors.New("stream ended in the middle of an event")
@@ -257,6 +257,10 @@
 // forwardEvents passes the events of run to its stream. It passes complete events only, so that the stream
 // can be continued by another replica.
 func (s *stream) forwardEvents(ctx context.Context, run *streamRun) error {
+	if err := checkStream(run.resp.StatusCode, run.resp.Header); err != nil {
+		return err
+	}
+	events := eventScanner{VersionField: platform.VersionField, LastID: run.lastEventID}
 	buffer := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -267,14 +271,18 @@
 		}
 		n, err := run.resp.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		if complete := bytes.LastIndex(buffer, eventEnd) + len(eventEnd); complete >= len(eventEnd) {
-			if writeErr := s.deliver(ctx, run, buffer[:complete]); writeErr != nil {
+		complete, malformed := events.Scan(buffer)
+		if complete > 0 {
+			if writeErr := s.deliver(ctx, run, buffer[:complete], events.LastID); writeErr != nil {
 				return writeErr
 			}
 			buffer = buffer[:copy(buffer, buffer[complete:])]
 		}
+		if malformed != nil {
+			return malformed
+		}
 		if errors.Is(err, io.EOF) {
-			return run.end(len(buffer))
+			return run.end(events.Partial)
 		}
 		if err != nil {
 			return err
@@ -282,17 +290,24 @@
 	}
 }
 
-// end returns whether the end of the body of run, with unread bytes after the last event, is the end of
-// the stream.
-func (run *streamRun) end(unread int) error {
-	if unread > 0 {
+// end returns whether the end of the body of run, which is inside an event if partial is set, is the end
+// of the stream.
+func (run *streamRun) end(partial bool) error {
+	switch {
+	case partial:
 		return errPartialEvent
+	case run.delivered || run.emptyIsEnd && isFramed(run.resp):
+		return nil
 	}
-	if !run.delivered && !run.emptyIsEnd {
-		// The server may have crashed.
-		return errNoEvent
-	}
-	return nil
+	// The server may have crashed. One that crashes closes its connections, so that it ends a response with
+	// neither a length nor chunks, too.
+	return errNoEvent
+}
+
+// isFramed returns whether the body of a response has a length or chunks, and does not end with its
+// connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // writeEvents writes complete events to the caller.
@@ -316,9 +331,6 @@
 	if err := s.rc.Flush(); err != nil {
 		return fmt.Errorf("write events to caller: %w", err)
 	}
-	if id, ok := findLastEventID(events); ok {
-		s.lastEventID = id
-	}
 	return nil
 }
 
@@ -345,18 +357,3 @@
 	}
 	s.w.WriteHeader(resp.StatusCode)
 }
-
-// findLastEventID returns the id of the last event that has one.
-func findLastEventID(events []byte) (string, bool) {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		events = events[at+len("\nid:"):]
-	case bytes.HasPrefix(events, []byte("id:")):
-		events = events[len("id:"):]
-	default:
-		return "", false
-	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
-}
