--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 )
@@ -56,6 +57,8 @@
 	// End means that the answer of the server is complete, Broken that it is lost or broke off.
 	End    bool `cbor:"6,keyasint,omitempty"`
 	Broken bool `cbor:"7,keyasint,omitempty"`
+	// Own means that the daemon has checked that the answer belongs to the request. Older ones do not.
+	Own bool `cbor:"8,keyasint,omitempty"`
 }
 
 // A detourRefusal is why a daemon does not pass on a request.
@@ -130,7 +133,7 @@
 			resp *http.Response
 			err  error
 		)
-		if resp, err = t.direct.RoundTrip(req); err == nil || !isDialError(err) || req.Context().Err() != nil {
+		if resp, err = t.sendDirect(req); err == nil || !isDialError(err) || req.Context().Err() != nil {
 			return resp, err
 		}
 		direct = err
@@ -167,6 +170,11 @@
 		}
 		return nil, g.unreachable(address, direct, reason)
 	}
+	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, false) != platform.Own {
+		// The connection to the server is the other daemon's, which may have used it before.
+		answer.exchange.Abort()
+		return nil, fmt.Errorf("%w: status %d through %s", platform.ErrForeignResponse, answer.head.Status, answer.helper)
+	}
 	return &http.Response{
 		Status: http.StatusText(answer.head.Status), StatusCode: answer.head.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: answer.head.Header, ContentLength: -1, Request: req, Body: &detourBody{ctx: ctx, exchange: answer.exchange},
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
@@ -41,7 +42,19 @@
 	}
 	received := detourPart{Received: true}
 	// A failure needs no signature.
-	head := detourPart{Status: http.StatusNotFound, Header: http.Header{}}
+	head := detourPart{Status: http.StatusNotFound, Header: http.Header{}, Own: true}
+	// A daemon that has not checked to which request the refusal belongs is an older one.
+	refusal := func(own bool, ids ...string) detourPart {
+		part := detourPart{Status: http.StatusMisdirectedRequest, Header: http.Header{}, Own: own}
+		for _, id := range ids {
+			one := http.Header{}
+			platform.SetAttemptID(one, id)
+			for name, values := range one {
+				part.Header[name] = append(part.Header[name], values...)
+			}
+		}
+		return part
+	}
 	for _, tc := range []struct {
 		name   string
 		helper func(context.Context, func(detourPart) error)
@@ -60,6 +73,11 @@
 		{"refuses_links", parts(received, detourPart{Refusal: refusedLinks}), notRun, "", false},
 		{"refuses_unreachable", parts(received, detourPart{Refusal: refusedUnreachable}), notRun, "", false},
 		{"refuses_server", parts(received, detourPart{Refusal: refusedServer}), notRun, "", false},
+		{"refusal_of_the_server", parts(received, refusal(true), detourPart{End: true}), notRun, "", false},
+		{"refusal_with_the_id", parts(received, refusal(false, "id"), detourPart{End: true}), notRun, "", false},
+		{"refusal_without_an_id", parts(received, refusal(false), detourPart{End: true}), lost, "", false},
+		{"refusal_with_two_ids", parts(received, refusal(false, "id", "id"), detourPart{End: true}), lost, "", false},
+		{"refusal_with_an_older_id", parts(received, refusal(false, "older"), detourPart{End: true}), lost, "", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -80,7 +98,11 @@
 			g.DialServer = func(context.Context, string, string) (net.Conn, error) {
 				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 			}
-			c := &call{method: http.MethodPost, host: "h", target: "/buy/x?a=%20", body: []byte("body"), route: &site.Route{}, deadline: time.Now().Add(5 * time.Second)}
+			c := &call{
+				method: http.MethodPost, host: "h", target: "/buy/x?a=%20", body: []byte("body"), route: &site.Route{}, deadline: time.Now().Add(5 * time.Second),
+				request: platform.Request{Attempt: "id"}, header: http.Header{},
+			}
+			platform.SetAttemptID(c.header, "id")
 			began := time.Now()
 			resp, result, err := g.send(withAttempt(t.Context(), &attempt{}), c, site.Server{ID: "s", Address: address}, "")
 			require.Equal(t, tc.want, result, "%v", err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -89,7 +89,7 @@
 		err  error
 	)
 	if resp, err = transport.RoundTrip(req.WithContext(ctx)); err != nil {
-		if !written.Load() && !errors.Is(err, errDetourBroke) {
+		if !written.Load() && !errors.Is(err, errDetourBroke) && !errors.Is(err, platform.ErrForeignResponse) {
 			return nil, notRun, err
 		}
 		return nil, lost, err
@@ -97,23 +97,17 @@
 	return g.classifyResponse(c, server, resp)
 }
 
-// errWrongAttempt means that a response belongs to a different request.
-var errWrongAttempt = errors.New("response belongs to another request")
-
 // errUnsigned means that a success response does not carry the signature of a backend server.
 var errUnsigned = errors.New("success response without a server signature")
 
 // errNotRun means that the server proved that it did not run the request.
 var errNotRun = errors.New("server did not run the request")
 
-// classifyResponse determines from a response of server whether the request ran.
+// classifyResponse determines from a response of server to c whether the request ran.
 func (g *Gateway) classifyResponse(c *call, server site.Server, resp *http.Response) (*http.Response, attemptResult, error) {
 	a := platform.DecodeResponse(resp.StatusCode, resp.Header)
 	g.recordNotice(c, server, a.Notice)
 	switch {
-	case a.Attempt != "" && a.Attempt != c.request.Attempt:
-		discard(resp)
-		return nil, lost, errWrongAttempt
 	case a.NotRun:
 		g.metrics.events.Add("declined", 1)
 		discard(resp)
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -66,7 +66,7 @@
 	if q.Call {
 		g.recordNotice(&call{request: platform.Request{Attempt: platform.AttemptID(q.Header)}}, server, platform.DecodeResponse(resp.StatusCode, resp.Header).Notice)
 	}
-	if send(detourPart{Status: resp.StatusCode, Header: resp.Header}) == nil {
+	if send(detourPart{Status: resp.StatusCode, Header: resp.Header, Own: true}) == nil {
 		g.passBack(resp, send)
 	}
 }
@@ -99,11 +99,11 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
 		Body: singleUseBody{bytes.NewReader(q.Body)},
 	}
-	began, transport := clock.Boot(), g.pooledTransport.direct
+	began, transport := clock.Boot(), g.pooledTransport
 	if q.SingleUse {
-		transport = g.singleUseTransport.direct
+		transport = g.singleUseTransport
 	}
-	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	resp, err := transport.sendDirect(req.WithContext(ctx))
 	if err != nil && isDialError(err) {
 		return nil, g.refusalOf(ctx, q.Address, began, err), nil
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -225,7 +225,7 @@
 	}
 	if result != answered {
 		cause := context.Cause(ctx)
-		if !errors.Is(err, errWrongAttempt) && !isUnreached(err) && !isHelperLost(err) && !errors.Is(cause, context.Canceled) &&
+		if !errors.Is(err, platform.ErrForeignResponse) && !isUnreached(err) && !isHelperLost(err) && !errors.Is(cause, context.Canceled) &&
 			!errors.Is(cause, errConvictedPart) && !errors.Is(cause, errPathLost) && !g.tracker.isBackingOff(replica.Head) {
 			g.tracker.markSuspect(a, time.Now())
 		}
