--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -117,7 +117,14 @@
 // through another daemon.
 type serverTransport struct {
 	gateway *Gateway
-	direct  *http.Transport
+	// direct keeps connections for further requests, unless they are for one each, fresh never does.
+	direct, fresh *http.Transport
+}
+
+// newServerTransport returns a serverTransport whose connections dial opens.
+func (g *Gateway) newServerTransport(dial dialFunc, singleUse bool) *serverTransport {
+	dial = wrapServerConns(dial)
+	return &serverTransport{gateway: g, direct: newTransport(dial, singleUse), fresh: newTransport(dial, true)}
 }
 
 // RoundTrip implements http.RoundTripper. A request that fails with errNoPath or a dial error was not
@@ -154,11 +161,15 @@
 		Address: address, Server: g.view.Load().Servers[address].ID, Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
 		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
 	}
-	if req.Body != nil {
-		var err error
-		if q.Body, err = io.ReadAll(req.Body); err != nil {
-			return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
-		}
+	var (
+		body io.Reader
+		err  error
+	)
+	if body, err = newBody(req); err == nil {
+		q.Body, err = io.ReadAll(body)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
 	}
 	answer, reason := g.ask(ctx, q)
 	if a != nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,7 +50,26 @@
 
 // singleUseBody hides from the transport that a body is empty or can be read again, so that it
 // never resends a request on its own.
-type singleUseBody struct{ io.Reader }
+type singleUseBody struct {
+	io.Reader
+	content []byte
+}
+
+// newSingleUseBody returns a body with the given content.
+func newSingleUseBody(content []byte) singleUseBody {
+	return singleUseBody{Reader: bytes.NewReader(content), content: content}
+}
+
+// newBody returns the body of req, of which nothing was sent, from its beginning.
+func newBody(req *http.Request) (io.ReadCloser, error) {
+	if body, ok := req.Body.(singleUseBody); ok {
+		return newSingleUseBody(body.content), nil
+	}
+	if req.GetBody == nil {
+		return http.NoBody, nil
+	}
+	return req.GetBody()
+}
 
 // Close implements io.Closer.
 func (singleUseBody) Close() error { return nil }
@@ -70,7 +89,7 @@
 	req := &http.Request{
 		Method: c.method, URL: &url.URL{Scheme: "http", Host: server.Address, Opaque: c.target}, Host: c.host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
-		Body: singleUseBody{bytes.NewReader(c.body)},
+		Body: newSingleUseBody(c.body),
 	}
 	priority := c.route.Priority
 	if c.organisation.HasPriority {
@@ -89,7 +108,8 @@
 		err  error
 	)
 	if resp, err = transport.RoundTrip(req.WithContext(ctx)); err != nil {
-		if !written.Load() && !errors.Is(err, errDetourBroke) && !errors.Is(err, platform.ErrForeignResponse) {
+		notSent := !written.Load() || errors.Is(err, errNotWritten) || isUnreached(err)
+		if notSent && !errors.Is(err, errDetourBroke) && !errors.Is(err, platform.ErrForeignResponse) {
 			return nil, notRun, err
 		}
 		return nil, lost, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,9 +106,9 @@
 	}
 	g.currentBounds.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
-	g.singleUseTransport = &serverTransport{gateway: g, direct: newTransport(wrapServerConns(g.dialServer), true)}
-	g.pooledTransport = &serverTransport{gateway: g, direct: newTransport(wrapServerConns(g.dialServer), false)}
-	orders := &serverTransport{gateway: g, direct: newTransport(wrapServerConns(g.dialForOrder), false)}
+	g.singleUseTransport = g.newServerTransport(g.dialServer, true)
+	g.pooledTransport = g.newServerTransport(g.dialServer, false)
+	orders := g.newServerTransport(g.dialForOrder, false)
 	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: orders, Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{OnViolation: func(p invariant.Name, message string) {
 		logger.Error().Str("event", "invariant_violated").Str("promise", string(p)).Msg(message)
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -97,7 +96,7 @@
 	req := &http.Request{
 		Method: q.Method, URL: &url.URL{Scheme: "http", Host: q.Address, Opaque: q.Target}, Host: q.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
-		Body: singleUseBody{bytes.NewReader(q.Body)},
+		Body: newSingleUseBody(q.Body),
 	}
 	began, transport := clock.Boot(), g.pooledTransport
 	if q.SingleUse {
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -2,20 +2,43 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 
 	"github.com/hawthornrock/hawthornrock/platform"
 )
 
-// A serverConn is a connection to a backend server.
+// errNotWritten means that no byte of a request was written: its connection was closed, or had received bytes
+// beyond the response before.
+var errNotWritten = errors.New("request was not written")
+
+// A serverConn is a connection to a backend server. It carries a further request only if it has received nothing
+// since the last response, and that response belonged to its request.
 type serverConn struct {
 	net.Conn
-	// used means that it has carried a request.
-	used atomic.Bool
+	mu sync.Mutex
+	// changed is signalled when a field changes that an exchange waits for.
+	changed *sync.Cond
+	// current is the latest exchange.
+	current *exchange
+	// reading means that the transport waits for bytes, so that it holds none that it has not used.
+	reading bool
+	// spent means that the connection must carry no further request.
+	spent bool
+}
+
+// An exchange is a request on a connection to a server, with its response. The connection's lock guards it.
+type exchange struct {
+	conn *serverConn
+	// first means that the connection carried nothing before.
+	first bool
+	// written means that part of the request may have been written, accepted that the response belongs to it.
+	written, accepted bool
 }
 
 // wrapServerConns returns dial with its connections as serverConns.
@@ -25,39 +48,136 @@
 		if err != nil {
 			return nil, err
 		}
-		return &serverConn{Conn: conn}, nil
+		c := &serverConn{Conn: conn}
+		c.changed = sync.NewCond(&c.mu)
+		return c, nil
 	}
 }
 
-// An exchange is a request on a connection to a server, with its response.
-type exchange struct {
-	conn *serverConn
-	// first means that the connection carried nothing before.
-	first bool
+// begin begins an exchange. It waits until the response before is accepted and the transport has used up what it
+// has received, which takes no time on a sound connection; from then on, bytes before the request belong to none.
+func (c *serverConn) begin() *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.spent && (!c.reading || c.current != nil && !c.current.accepted) {
+		c.changed.Wait()
+	}
+	c.current = &exchange{conn: c, first: c.current == nil}
+	return c.current
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if err != nil || c.current == nil || !c.current.written {
+		c.spend()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(p []byte) (int, error) {
+	if !c.mayWrite() {
+		return 0, errNotWritten
+	}
+	return c.Conn.Write(p)
+}
+
+// mayWrite returns whether the current request may be written.
+func (c *serverConn) mayWrite() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != nil && !c.spent {
+		c.current.written = true
+	}
+	return c.current != nil && c.current.written
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	c.mu.Lock()
+	c.spend()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// spend rules out further requests. The caller holds the lock.
+func (c *serverConn) spend() {
+	c.spent = true
+	c.changed.Broadcast()
+}
+
+// accept records that the response of x belongs to its request.
+func (x *exchange) accept() {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	x.accepted = true
+	x.conn.changed.Broadcast()
+}
+
+// abort closes the connection of x, and returns whether part of the request may have been written.
+func (x *exchange) abort() bool {
+	// The connection is of no further use, so an error does not matter.
+	_ = x.conn.Close()
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	return x.written
 }
 
-// sendDirect sends req on this daemon's own path. It returns a response only if it belongs to req; a connection
-// whose responses can't be told apart is closed.
+// wasWritten returns whether part of the request may have been written.
+func (x *exchange) wasWritten() bool {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	return x.written
+}
+
+// sendDirect sends req on this daemon's own path, on a new connection if one that was used before turns out to be
+// of no use. It returns a response only if it belongs to req.
 func (t *serverTransport) sendDirect(req *http.Request) (*http.Response, error) {
+	resp, err := exchangeOn(t.direct, req)
+	if !errors.Is(err, errNotWritten) || req.Context().Err() != nil {
+		return resp, err
+	}
+	again := req.WithContext(req.Context())
+	if again.Body, err = newBody(req); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotWritten, err)
+	}
+	return exchangeOn(t.fresh, again)
+}
+
+// exchangeOn sends req with transport. A connection whose responses can't be told apart is closed.
+func exchangeOn(transport *http.Transport, req *http.Request) (*http.Response, error) {
 	var current atomic.Pointer[exchange]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*serverConn); ok {
-			current.Store(&exchange{conn: conn, first: !conn.used.Swap(true)})
+			current.Store(conn.begin())
 		}
 	}}
-	resp, err := t.direct.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil {
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	x := current.Load()
+	switch {
+	case err != nil && x != nil && !x.abort():
+		return nil, fmt.Errorf("%w: %w", errNotWritten, err)
+	case err != nil:
 		return nil, err
+	case !x.wasWritten() && !x.abort():
+		_ = resp.Body.Close()
+		return nil, errNotWritten
 	}
-	x := current.Load()
-	switch platform.OriginOf(req.Header, resp.Header, x.first) {
-	case platform.Foreign:
+	if platform.OriginOf(req.Header, resp.Header, x.first) == platform.Foreign {
 		// Without a body the transport already keeps the connection for other requests, so closing the body is
-		// not enough. The errors need no handling.
-		_ = x.conn.Close()
+		// not enough.
+		x.abort()
 		_ = resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", platform.ErrForeignResponse, resp.StatusCode)
-	case platform.Unnamed, platform.Own:
 	}
+	x.accept()
 	return resp, nil
 }
