--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -122,6 +122,13 @@
 	x.conn.changed.Broadcast()
 }
 
+// retire makes x the last exchange of its connection.
+func (x *exchange) retire() {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	x.conn.spend()
+}
+
 // abort closes the connection of x, and returns whether part of the request may have been written.
 func (x *exchange) abort() bool {
 	// The connection is of no further use, so an error does not matter.
@@ -171,12 +178,16 @@
 		_ = resp.Body.Close()
 		return nil, errNotWritten
 	}
-	if platform.OriginOf(req.Header, resp.Header, x.first) == platform.Foreign {
+	switch platform.OriginOf(req.Header, resp.Header, x.first) {
+	case platform.Foreign:
 		// Without a body the transport already keeps the connection for other requests, so closing the body is
 		// not enough.
 		x.abort()
 		_ = resp.Body.Close()
 		return nil, fmt.Errorf("%w: status %d", platform.ErrForeignResponse, resp.StatusCode)
+	case platform.Unnamed:
+		x.retire()
+	case platform.Own:
 	}
 	x.accept()
 	return resp, nil
