--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -181,7 +181,7 @@
 		}
 		return nil, g.unreachable(address, direct, reason)
 	}
-	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, false) != platform.Own {
+	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, answer.head.Status, false) != platform.Own {
 		// The connection to the server is the other daemon's, which may have used it before.
 		answer.exchange.Abort()
 		return nil, fmt.Errorf("%w: status %d through %s", platform.ErrForeignResponse, answer.head.Status, answer.helper)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -410,6 +410,7 @@
 	}
 	l.planner.RecordAnswer(now, m.order, m.answer)
 	if l.planner.Superseded(m.order, m.answer) {
+		c.gateway.metrics.events.Add("leaders_fenced", 1)
 		c.gateway.logger.Warn().Str("event", "fenced").Int64("term", l.term).Str("server", m.order.Server).Msg("server has orders of a later leader; this daemon stops leading")
 		l.planner = nil
 		l.candidate.Superseded(now)
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -145,16 +145,30 @@
 	return x.written
 }
 
-// sendDirect sends req on this daemon's own path, on a new connection if one that was used before turns out to be
-// of no use. It returns a response only if it belongs to req.
+// sendDirect sends req on this daemon's own path, and returns a response only if it belongs to req. What a used
+// connection turns out to be of no use for is sent on a new one: requests that were not written, and orders and
+// probes, which may be repeated.
 func (t *serverTransport) sendDirect(req *http.Request) (*http.Response, error) {
+	events := &t.gateway.metrics.events
 	resp, err := exchangeOn(t.direct, req)
-	if !errors.Is(err, errNotWritten) || req.Context().Err() != nil {
+	switch {
+	case errors.Is(err, errNotWritten):
+		events.Add("requests_not_written", 1)
+	case errors.Is(err, platform.ErrForeignResponse):
+		events.Add("responses_foreign", 1)
+		if platform.AttemptID(req.Header) != "" {
+			return nil, err
+		}
+	default:
 		return resp, err
 	}
+	if req.Context().Err() != nil {
+		return nil, err
+	}
 	again := req.WithContext(req.Context())
-	if again.Body, err = newBody(req); err != nil {
-		return nil, fmt.Errorf("%w: %w", errNotWritten, err)
+	var bodyErr error
+	if again.Body, bodyErr = newBody(req); bodyErr != nil {
+		return nil, fmt.Errorf("%w: %w", err, bodyErr)
 	}
 	return exchangeOn(t.fresh, again)
 }
@@ -178,7 +192,7 @@
 		_ = resp.Body.Close()
 		return nil, errNotWritten
 	}
-	switch platform.OriginOf(req.Header, resp.Header, x.first) {
+	switch platform.OriginOf(req.Header, resp.Header, resp.StatusCode, x.first) {
 	case platform.Foreign:
 		// Without a body the transport already keeps the connection for other requests, so closing the body is
 		// not enough.
