--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 )
@@ -58,6 +59,8 @@
 	Broken bool `cbor:"7,keyasint,omitempty"`
 	// Framed means that the body has a length or chunks. It comes with Status.
 	Framed bool `cbor:"8,keyasint,omitempty"`
+	// Own means that the daemon has checked that the answer belongs to the request. Older ones do not.
+	Own bool `cbor:"9,keyasint,omitempty"`
 }
 
 // A detourRefusal is why a daemon does not pass on a request.
@@ -116,7 +119,14 @@
 // through another daemon.
 type serverTransport struct {
 	gateway *Gateway
-	direct  *http.Transport
+	// direct keeps connections for further requests, unless they are for one each, fresh never does.
+	direct, fresh *http.Transport
+}
+
+// newServerTransport returns a serverTransport whose connections dial opens.
+func (g *Gateway) newServerTransport(dial dialFunc, singleUse bool) *serverTransport {
+	dial = wrapServerConns(dial)
+	return &serverTransport{gateway: g, direct: newTransport(dial, singleUse), fresh: newTransport(dial, true)}
 }
 
 // RoundTrip implements http.RoundTripper. A request that fails with errNoPath or a dial error was not
@@ -132,7 +142,7 @@
 			resp *http.Response
 			err  error
 		)
-		if resp, err = t.direct.RoundTrip(req); err == nil || !isDialError(err) || req.Context().Err() != nil {
+		if resp, err = t.sendDirect(req); err == nil || !isDialError(err) || req.Context().Err() != nil {
 			return resp, err
 		}
 		direct = err
@@ -153,11 +163,15 @@
 		Address: address, Server: g.view.Load().Servers[address].ID, Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
 		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
 	}
-	if req.Body != nil {
-		var err error
-		if q.Body, err = io.ReadAll(req.Body); err != nil {
-			return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
-		}
+	var (
+		body io.Reader
+		err  error
+	)
+	if body, err = newBody(req); err == nil {
+		q.Body, err = io.ReadAll(body)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
 	}
 	answer, reason := g.ask(ctx, q)
 	if a != nil {
@@ -169,6 +183,11 @@
 		}
 		return nil, g.unreachable(address, direct, reason)
 	}
+	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, answer.head.Status, false) != platform.Own {
+		// The connection to the server is the other daemon's, which may have used it before.
+		answer.exchange.Abort()
+		return nil, fmt.Errorf("%w: status %d through %s", platform.ErrForeignResponse, answer.head.Status, answer.helper)
+	}
 	var encoding []string
 	if answer.head.Framed {
 		encoding = []string{"chunked"}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -50,7 +50,26 @@
 
 // singleUseBody hides from the transport that a body is empty or can be read again, so that it
 // never resends a request on its own.
-type singleUseBody struct{ io.Reader }
+type singleUseBody struct {
+	io.Reader
+	content []byte
+}
+
+// newSingleUseBody returns a body with the given content.
+func newSingleUseBody(content []byte) singleUseBody {
+	return singleUseBody{Reader: bytes.NewReader(content), content: content}
+}
+
+// newBody returns the body of req, of which nothing was sent, from its beginning.
+func newBody(req *http.Request) (io.ReadCloser, error) {
+	if body, ok := req.Body.(singleUseBody); ok {
+		return newSingleUseBody(body.content), nil
+	}
+	if req.GetBody == nil {
+		return http.NoBody, nil
+	}
+	return req.GetBody()
+}
 
 // Close implements io.Closer.
 func (singleUseBody) Close() error { return nil }
@@ -70,7 +89,7 @@
 	req := &http.Request{
 		Method: c.method, URL: &url.URL{Scheme: "http", Host: server.Address, Opaque: c.target}, Host: c.host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
-		Body: singleUseBody{bytes.NewReader(c.body)},
+		Body: newSingleUseBody(c.body),
 	}
 	priority := c.route.Priority
 	if c.organisation.HasPriority {
@@ -88,7 +107,8 @@
 		err  error
 	)
 	if resp, err = transport.RoundTrip(req.WithContext(ctx)); err != nil {
-		if !written.Load() && !errors.Is(err, errDetourBroke) {
+		notSent := !written.Load() || errors.Is(err, errNotWritten) || isUnreached(err)
+		if notSent && !errors.Is(err, errDetourBroke) && !errors.Is(err, platform.ErrForeignResponse) {
 			return nil, notRun, err
 		}
 		return nil, lost, err
@@ -96,23 +116,17 @@
 	return g.classifyResponse(c, server, resp)
 }
 
-// errWrongAttempt means that a response belongs to a different request.
-var errWrongAttempt = errors.New("response belongs to another request")
-
 // errUnsigned means that a success response does not carry the signature of a backend server.
 var errUnsigned = errors.New("success response without a server signature")
 
 // errNotRun means that the server proved that it did not run the request.
 var errNotRun = errors.New("server did not run the request")
 
-// classifyResponse determines from a response of server whether the request ran.
+// classifyResponse determines from a response of server to c whether the request ran.
 func (g *Gateway) classifyResponse(c *call, server site.Server, resp *http.Response) (*http.Response, attemptResult, error) {
 	a := platform.DecodeResponse(resp.StatusCode, resp.Header)
 	g.recordNotice(c, server, a.Notice)
 	switch {
-	case a.Attempt != "" && a.Attempt != c.request.Attempt:
-		discard(resp)
-		return nil, lost, errWrongAttempt
 	case a.NotRun:
 		g.metrics.events.Add("declined", 1)
 		discard(resp)
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -66,7 +65,7 @@
 	if q.Call {
 		g.recordNotice(&call{request: platform.Request{Attempt: platform.AttemptID(q.Header)}}, server, platform.DecodeResponse(resp.StatusCode, resp.Header).Notice)
 	}
-	if send(detourPart{Status: resp.StatusCode, Header: resp.Header, Framed: isFramed(resp)}) == nil {
+	if send(detourPart{Status: resp.StatusCode, Header: resp.Header, Framed: isFramed(resp), Own: true}) == nil {
 		g.passBack(resp, send)
 	}
 }
@@ -97,13 +96,13 @@
 	req := &http.Request{
 		Method: q.Method, URL: &url.URL{Scheme: "http", Host: q.Address, Opaque: q.Target}, Host: q.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
-		Body: singleUseBody{bytes.NewReader(q.Body)},
+		Body: newSingleUseBody(q.Body),
 	}
-	began, transport := clock.Boot(), g.pooledTransport.direct
+	began, transport := clock.Boot(), g.pooledTransport
 	if q.SingleUse {
-		transport = g.singleUseTransport.direct
+		transport = g.singleUseTransport
 	}
-	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	resp, err := transport.sendDirect(req.WithContext(ctx))
 	if err != nil && isDialError(err) {
 		return nil, g.refusalOf(ctx, q.Address, began, err), nil
 	}
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hawthornrock/hawthornrock/coordination/hedge"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -132,7 +133,7 @@
 	defer span.End()
 	resp, result, err := g.send(withAttempt(ctx, a), c, head, run.lastEventID)
 	if result != answered {
-		if !errors.Is(err, errWrongAttempt) && !isUnreached(err) && !isHelperLost(err) && !isGivenUp(context.Cause(ctx)) && !g.tracker.isBackingOff(head) {
+		if !errors.Is(err, platform.ErrForeignResponse) && !isUnreached(err) && !isHelperLost(err) && !isGivenUp(context.Cause(ctx)) && !g.tracker.isBackingOff(head) {
 			g.tracker.markSuspect(a, time.Now())
 		}
 		if result == lost {
