--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -8,11 +8,11 @@
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
-// admitsCold returns whether this daemon may send one more request to server, which is cold until
-// coldUntil on the boot clock. If take is set, the request is counted. The caller holds the lock of
+// admitsCold returns whether this daemon may send one more request to a server of view, which is cold
+// until coldUntil on the boot clock. If take is set, the request is counted. The caller holds the lock of
 // the attempt tracker.
-func (g *Gateway) admitsCold(s *targetState, server site.Server, coldUntil time.Duration, take bool) bool {
-	now, view := clock.Boot(), g.view.Load()
+func (g *Gateway) admitsCold(view *View, s *targetState, server site.Server, coldUntil time.Duration, take bool) bool {
+	now := clock.Boot()
 	service := view.Configuration.Services[server.Service]
 	if now >= coldUntil || service == nil || service.ColdPerSecond <= 0 {
 		return true
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -31,7 +31,7 @@
 			c.publish(clock.Boot())
 			sent := 0
 			for range 50 {
-				if _, ok, _ := c.gateway.choosePlain(&call{service: service}, nil); ok {
+				if _, ok, _ := c.gateway.choosePlain(c.gateway.view.Load(), &call{service: service}, nil); ok {
 					sent++
 				}
 			}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -51,7 +51,7 @@
 		last  *plainAnswer
 	)
 	for {
-		server, ok, backoff := g.choosePlain(c, tried)
+		server, ok, backoff := g.choosePlain(g.view.Load(), c, tried)
 		if !ok {
 			g.endPlain(ctx, w, c, last, backoff)
 			return
@@ -97,11 +97,11 @@
 	}
 }
 
-// choosePlain returns the server with the fewest requests of this daemon in flight, preferring its
+// choosePlain returns the server of view with the fewest requests of this daemon in flight, preferring its
 // own failure domain among equals. If there is none, the duration is the time until the first
 // backing-off server accepts requests again, or zero if no server is backing off.
-func (g *Gateway) choosePlain(c *call, tried []string) (site.Server, bool, time.Duration) {
-	servers := g.view.Load().PlainServers[c.service.Name]
+func (g *Gateway) choosePlain(view *View, c *call, tried []string) (site.Server, bool, time.Duration) {
+	servers := view.PlainServers[c.service.Name]
 	g.tracker.mu.Lock()
 	defer g.tracker.mu.Unlock()
 	now := time.Now()
@@ -112,11 +112,11 @@
 		if slices.Contains(tried, s.ID) || !g.tracker.admitsWork(s, &backoff) {
 			continue
 		}
-		state, route := g.tracker.target(s.ID), g.peekRoute(g.view.Load().destination(s.Address))
+		state, route := g.tracker.target(s.ID), g.peekRoute(view.destination(s.Address))
 		if route == detour.Closed {
 			continue
 		}
-		if !g.admitsCold(state, s, servers[i].ColdUntil, false) {
+		if !g.admitsCold(view, state, s, servers[i].ColdUntil, false) {
 			continue
 		}
 		key := [3]int{boolToInt(now.Before(state.suspectUntil)), len(state.attempts), boolToInt(s.FailureDomain != g.settings.FailureDomain || route == detour.Around)}
@@ -125,7 +125,7 @@
 		}
 	}
 	if found {
-		g.admitsCold(g.tracker.target(best.Server.ID), best.Server, best.ColdUntil, true)
+		g.admitsCold(view, g.tracker.target(best.Server.ID), best.Server, best.ColdUntil, true)
 	}
 	return best.Server, found, backoff
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,7 +40,8 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, c *call) {
 	s := &stream{call: c, w: w, rc: http.NewResponseController(w), lastEventID: c.request.LastEventID}
 	for {
-		replica, refused := g.chooseReplica(s)
+		view := g.view.Load()
+		replica, refused := g.chooseReplica(view, s)
 		if refused != nil {
 			g.endStream(ctx, s, refused)
 			return
@@ -51,7 +52,7 @@
 		}
 		s.tried = append(s.tried, replica.Name)
 		c.servers = append(c.servers, replica.Name)
-		result, err := g.tryReplica(ctx, s, replica)
+		result, err := g.tryReplica(ctx, view, s, replica)
 		if err == nil {
 			g.crashes.acquit(c.fingerprint)
 			g.recordOutcome(c, http.StatusOK, "answered")
@@ -97,9 +98,9 @@
 }
 
 // chooseReplica returns the replica with the earliest expected first token, or a refusal if no
-// replica can serve the request in time.
-func (g *Gateway) chooseReplica(s *stream) (Replica, *refusal) {
-	c, view := s.call, g.view.Load()
+// replica of view can serve the request in time.
+func (g *Gateway) chooseReplica(view *View, s *stream) (Replica, *refusal) {
+	c := s.call
 	if !g.configurationFresh() && c.sent == 0 {
 		return Replica{}, unavailable("stale_configuration")
 	}
@@ -120,7 +121,7 @@
 	for _, r := range view.Replicas[model.Name] {
 		state := b.target(r.Name)
 		route := g.peekRoute(view.destination(r.Head.Address))
-		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(state, r.Head, r.ColdUntil, false) {
+		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
 			continue
 		}
 		other := b.workAtPeers(r.Epoch, now)
@@ -148,7 +149,7 @@
 		c.detail = fmt.Sprintf("first token expected in %v", expected.Round(time.Millisecond))
 		return Replica{}, unavailable("overload")
 	}
-	g.admitsCold(b.target(replicas[i].Name), replicas[i].Head, replicas[i].ColdUntil, true)
+	g.admitsCold(view, b.target(replicas[i].Name), replicas[i].Head, replicas[i].ColdUntil, true)
 	return replicas[i], nil
 }
 
@@ -202,9 +203,9 @@
 // Error returns the status.
 func (f *serverError) Error() string { return fmt.Sprintf("server answered %d", f.answer.status) }
 
-// tryReplica makes one attempt at the remaining part of s. It returns a nil error once the caller
-// has the whole answer.
-func (g *Gateway) tryReplica(ctx context.Context, s *stream, replica Replica) (attemptResult, error) {
+// tryReplica makes one attempt at the remaining part of s, at a replica of view. It returns a nil error
+// once the caller has the whole answer.
+func (g *Gateway) tryReplica(ctx context.Context, view *View, s *stream, replica Replica) (attemptResult, error) {
 	c := s.call
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -215,7 +216,7 @@
 		a.parts = c.parts
 	}
 	a.lastEventAt = a.sentAt
-	g.checkDispatch(replica)
+	g.checkDispatch(view, replica)
 	g.tracker.add(a)
 	defer g.tracker.remove(a)
 	resp, result, err := g.send(withAttempt(ctx, a), c, replica.Head, s.lastEventID)
@@ -275,13 +276,11 @@
 	return &serverError{answer: answer}
 }
 
-// checkDispatch checks, right before a request is sent to a replica, that the replica is complete and
-// that its failure domain is in service unless the current view still lists it.
-func (g *Gateway) checkDispatch(r Replica) {
-	view := g.view.Load()
-	i := slices.IndexFunc(view.Replicas[r.Model.Name], func(v Replica) bool { return v.Name == r.Name })
+// checkDispatch checks, right before a request is sent to a replica that was chosen from view, that the
+// replica is complete and that its failure domain is in service.
+func (g *Gateway) checkDispatch(view *View, r Replica) {
 	g.monitor.Check(len(r.Members) == r.Model.Size, invariant.CompleteReplica, "replica %s has %d members", r.Name, len(r.Members))
-	g.monitor.Check(i >= 0 || !view.DomainsOut[r.Head.FailureDomain], invariant.DomainOut, "failure domain %s is out of service", r.Head.FailureDomain)
+	g.monitor.Check(!view.DomainsOut[r.Head.FailureDomain], invariant.DomainOut, "failure domain %s is out of service", r.Head.FailureDomain)
 }
 
 const (
