--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 )
@@ -120,9 +121,10 @@
 // RoundTrip implements http.RoundTripper. A request that fails with errNoPath or a dial error was not
 // sent.
 func (t *serverTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	g, address := t.gateway, req.URL.Host
+	g := t.gateway
+	to := g.view.Load().destination(req.URL.Host)
 	var direct error
-	switch g.route(g.view.Load().destination(address)) {
+	switch g.route(to) {
 	case detour.Closed:
 		return nil, errNoPath
 	case detour.Direct:
@@ -136,19 +138,20 @@
 		direct = err
 	case detour.Around:
 	}
-	return t.sendAround(req, direct)
+	return t.sendAround(req, to, direct)
 }
 
-// sendAround sends req through another daemon. direct is the error with which this daemon's own path
+// sendAround sends req to a server through another daemon. direct is the error with which this daemon's own path
 // failed just now, nil if it was lost before.
-func (t *serverTransport) sendAround(req *http.Request, direct error) (*http.Response, error) {
-	g, ctx, address := t.gateway, req.Context(), req.URL.Host
+func (t *serverTransport) sendAround(req *http.Request, to detour.Server, direct error) (*http.Response, error) {
+	g, ctx := t.gateway, req.Context()
 	a := attemptOf(ctx)
 	if a != nil {
 		a.around.Store(true)
 	}
 	q := detourRequest{
-		Address: address, Server: g.view.Load().Servers[address].ID, Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
+		// The address may have passed to another server since the choice.
+		Address: to.Address, Server: platform.ServerID(req.Header), Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
 		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
 	}
 	if req.Body != nil {
@@ -157,7 +160,7 @@
 			return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
 		}
 	}
-	answer, reason := g.ask(ctx, q)
+	answer, reason := g.ask(ctx, to, q)
 	if a != nil {
 		a.helper = answer.helper
 	}
@@ -165,7 +168,7 @@
 		if errors.Is(reason, errDetourBroke) || ctx.Err() != nil {
 			return nil, reason
 		}
-		return nil, g.unreachable(address, direct, reason)
+		return nil, g.unreachable(to, direct, reason)
 	}
 	return &http.Response{
 		Status: http.StatusText(answer.head.Status), StatusCode: answer.head.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -173,11 +176,10 @@
 	}, nil
 }
 
-// unreachable records that no daemon reaches the server at address for the given reason, and returns the
-// error for its request. A refused connection is only believed if another daemon says the same.
-func (g *Gateway) unreachable(address string, direct, reason error) error {
+// unreachable records that no daemon reaches s for the given reason, and returns the error for its request. A refused connection is only believed if another daemon says the same.
+func (g *Gateway) unreachable(s detour.Server, direct, reason error) error {
 	g.paths.mu.Lock()
-	g.paths.paths.Unreachable(clock.Boot(), g.view.Load().destination(address))
+	g.paths.paths.Unreachable(clock.Boot(), s)
 	g.paths.mu.Unlock()
 	var refused *helperRefusedError
 	asked := errors.As(reason, &refused)
@@ -197,19 +199,19 @@
 	head     detourPart
 }
 
-// ask asks other daemons, one after the other, to pass q on, and returns the beginning of the server's
+// ask asks other daemons, one after the other, to pass q on to a server, and returns the beginning of the server's
 // answer. Unless the error is errDetourBroke, q was not sent.
-func (g *Gateway) ask(ctx context.Context, q detourRequest) (detourAnswer, error) {
+func (g *Gateway) ask(ctx context.Context, to detour.Server, q detourRequest) (detourAnswer, error) {
 	var (
 		asked  []string
 		answer detourAnswer
 		last   = errNoPath
 		self   = detour.Helper{Name: g.settings.Front, FailureDomain: g.settings.FailureDomain}
-		to     = g.view.Load().destination(q.Address)
 	)
 	for range maxHelpersAsked {
+		view := g.view.Load()
 		g.paths.mu.Lock()
-		helper, ok := g.paths.helpers.Choose(clock.Boot(), self, to, g.helperCandidates(asked), rand.IntN)
+		helper, ok := g.paths.helpers.Choose(clock.Boot(), self, to, g.helperCandidates(view, asked), rand.IntN)
 		g.paths.mu.Unlock()
 		if !ok {
 			break
@@ -217,7 +219,7 @@
 		asked = append(asked, helper.Name)
 		answer.helper = helper.Name
 		var err error
-		if answer.exchange, answer.head, err = g.askHelper(ctx, helper.Name, q); err == nil {
+		if answer.exchange, answer.head, err = g.askHelper(ctx, view, helper.Name, q); err == nil {
 			g.recordReached(q.Address, helper.Name)
 			g.metrics.events.Add("detours", 1)
 			return answer, nil
@@ -237,9 +239,9 @@
 	return answer, last
 }
 
-// askHelper asks the daemon with the given front address to pass q on.
-func (g *Gateway) askHelper(ctx context.Context, front string, q detourRequest) (*link.Exchange[detourRequest, detourPart], detourPart, error) {
-	exchanger := g.exchanger(front)
+// askHelper asks the daemon of view with the given front address to pass q on.
+func (g *Gateway) askHelper(ctx context.Context, view *View, front string, q detourRequest) (*link.Exchange[detourRequest, detourPart], detourPart, error) {
+	exchanger := g.exchanger(view, front)
 	if exchanger == nil {
 		return nil, detourPart{}, errNoPath
 	}
@@ -278,10 +280,12 @@
 func (g *Gateway) testAround(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := g.ask(ctx, detourRequest{Address: address, Server: g.view.Load().Servers[address].ID})
+	view := g.view.Load()
+	to := view.destination(address)
+	_, err := g.ask(ctx, to, detourRequest{Address: address, Server: view.Servers[address].ID})
 	if err != nil {
 		g.paths.mu.Lock()
-		g.paths.paths.Unreachable(clock.Boot(), g.view.Load().destination(address))
+		g.paths.paths.Unreachable(clock.Boot(), to)
 		g.paths.mu.Unlock()
 	}
 	return err == nil
@@ -327,10 +331,10 @@
 	return nil
 }
 
-// exchanger returns the links for detours through the daemon with the given front address; nil if there
-// is none.
-func (g *Gateway) exchanger(front string) *link.Exchanger[detourRequest, detourPart] {
-	h, ok := g.view.Load().peer(front)
+// exchanger returns the links for detours through the daemon of view with the given front address; nil if
+// there is none.
+func (g *Gateway) exchanger(view *View, front string) *link.Exchanger[detourRequest, detourPart] {
+	h, ok := view.peer(front)
 	group := g.linkGroup.Load()
 	if !ok || group == nil {
 		return nil
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -65,6 +65,7 @@
 			t.Parallel()
 			g := newController().gateway
 			peer := httptest.NewServer(link.AcceptExchanges("secret", g.links, func(ctx context.Context, q detourRequest, send func(detourPart) error) {
+				require.Equal(t, "s", q.Server, "the server that the request was meant for")
 				require.Equal(t, "body", string(q.Body))
 				require.Equal(t, "/buy/x?a=%20", q.Target)
 				tc.helper(ctx, send)
@@ -73,7 +74,7 @@
 			var group task.Group
 			g.linkGroup.Store(&group)
 			g.view.Store(&View{
-				Servers:            map[string]site.Server{address: {ID: "s", Address: address}},
+				Servers:            map[string]site.Server{address: {ID: "successor", Address: address}},
 				Peers:              map[string]heartbeat{"h1": {Front: "h", Ready: true, Peer: strings.TrimPrefix(peer.URL, "http://"), Secret: "secret"}},
 				IncarnationByFront: map[string]string{"h": "h1"},
 			})
@@ -115,7 +116,7 @@
 		{"silent_there", &helperRefusedError{reason: refusedUnreachable}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			err := newController().gateway.unreachable("a:1", refused, tc.reason)
+			err := newController().gateway.unreachable(detour.Server{Address: "a:1"}, refused, tc.reason)
 			require.Equal(t, tc.want, isRefused(err))
 			require.True(t, isUnreached(err))
 		})
@@ -177,13 +178,13 @@
 func TestHelpersOfTheRegion(t *testing.T) {
 	g := newController().gateway
 	g.settings.Region = "here"
-	g.view.Store(&View{
+	view := &View{
 		Peers: map[string]heartbeat{
 			"1": {Ready: true, Peer: "a", Region: "here"}, "2": {Ready: true, Peer: "b", Region: "there"}, "3": {Peer: "c", Region: "here"},
 		},
 		IncarnationByFront: map[string]string{"near": "1", "far": "2", "starting": "3"},
-	})
-	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(nil))
+	}
+	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(view, nil))
 }
 
 // TestUnacknowledgedBytes guards against connections to a peer that is gone which nothing closes: the
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -295,11 +295,11 @@
 // a while by what is known of the paths to it.
 func isUnreached(err error) bool { return errors.Is(err, errNoPath) || isDialError(err) }
 
-// helperCandidates returns the other daemons that may reach servers.
-func (g *Gateway) helperCandidates(except []string) []detour.Helper {
+// helperCandidates returns the other daemons of view that may reach servers.
+func (g *Gateway) helperCandidates(view *View, except []string) []detour.Helper {
 	var out []detour.Helper
-	for front, incarnation := range g.view.Load().IncarnationByFront {
-		h := g.view.Load().Peers[incarnation]
+	for front, incarnation := range view.IncarnationByFront {
+		h := view.Peers[incarnation]
 		if (h.Ready || h.Leaving) && h.Peer != "" && h.Region == g.settings.Region && !slices.Contains(except, front) {
 			out = append(out, detour.Helper{Name: front, FailureDomain: h.FailureDomain, Leaving: h.Leaving})
 		}
--- a/gateway/sums.go
+++ b/gateway/sums.go
@@ -41,15 +41,15 @@
 	if !full {
 		answer.Summary.Daemons = nil
 	}
-	otherDomains := g.view.Load().OtherDomainEpochs
-	if h, ok := g.view.Load().Peers[m.From]; !ok || h.FailureDomain != g.settings.FailureDomain {
+	view := g.view.Load()
+	if h, ok := view.Peers[m.From]; !ok || h.FailureDomain != g.settings.FailureDomain {
 		// Replicas outside this failure domain may be inside that of the sender.
 		return
 	}
 	all := answer.Summary.Loads
 	answer.Summary.Loads = make(map[int64]relay.ReplicaLoad, len(all))
 	for epoch, w := range all {
-		if _, atSender := m.Summary.Loads[epoch]; atSender || !otherDomains[epoch] {
+		if _, atSender := m.Summary.Loads[epoch]; atSender || !view.OtherDomainEpochs[epoch] {
 			answer.Summary.Loads[epoch] = w
 			continue
 		}
