--- a/gateway/control.go
+++ b/gateway/control.go
@@ -139,8 +139,11 @@
 // applyPage applies records of a topic.
 func (c *controller) applyPage(now time.Duration, m topicPage) {
 	if c.failedTopics[m.topic] {
-		c.gateway.logger.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("topic", m.topic).
-			Dur("missed", m.sincePrevious).Msg("store topic can be read again")
+		line := c.gateway.logger.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("topic", m.topic)
+		if c.loadedTopics[m.topic] {
+			line = line.Dur("missed", m.sincePrevious)
+		}
+		line.Msg("store topic can be read again")
 	}
 	c.failedTopics[m.topic] = false
 	switch m.topic {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -256,7 +256,7 @@
 	if c.detail != "" {
 		line = line.Str("why", c.detail)
 	}
-	line.Dur("configuration_age", clock.Boot()-time.Duration(g.confirmedAt.Load())).Msg("")
+	withAge(line, "configuration_age", clock.Boot(), time.Duration(g.confirmedAt.Load())).Msg("")
 }
 
 // timedOut returns the refusal of a call whose deadline has passed.
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -185,7 +185,11 @@
 	if old := c.gateway.term.Swap(term); old == term {
 		return
 	}
-	c.gateway.logger.Info().Str("event", "leadership").Int64("term", term).Dur("until", l.candidate.LeaseExpiry()-now).Msg("this daemon started or stopped leading")
+	line := c.gateway.logger.Info().Str("event", "leadership").Int64("term", term)
+	if expiry := l.candidate.LeaseExpiry(); expiry != 0 {
+		line = line.Dur("until", expiry-now)
+	}
+	line.Msg("this daemon started or stopped leading")
 	l.planner, l.probedAt, l.aliveAt, l.polledAt = nil, make(map[string]time.Duration), make(map[string]time.Duration), make(map[string]time.Duration)
 	if leads {
 		l.planner = formation.New(term, now)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -286,7 +286,8 @@
 		ps.hub, ps.followedSince, ps.hubStale = order[0], now, false
 	case ps.hubStale || now-max(ps.followedSince, ps.lastUpdateAt) > hubTimeout:
 		next := order[(at+1)%len(order)]
-		g.logger.Warn().Str("event", "hub_lost").Str("hub", ps.hub).Str("next", next).Dur("silent", now-ps.lastAnswerAt).Dur("no_news", now-ps.lastUpdateAt).Msg("hub sends no updates; following the next one")
+		line := withAge(g.logger.Warn().Str("event", "hub_lost").Str("hub", ps.hub).Str("next", next), "silent", now, ps.lastAnswerAt)
+		withAge(line, "no_news", now, ps.lastUpdateAt).Msg("hub sends no updates; following the next one")
 		ps.hub, ps.followedSince, ps.hubStale = next, now, false
 	case at > 0 && now-ps.followedSince > hubFailbackDelay:
 		ps.hub, ps.followedSince = order[0], now
