--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -13,7 +13,7 @@
 // the attempt tracker.
 func (g *Gateway) admitsCold(view *View, s *targetState, server site.Server, coldUntil time.Duration, take bool) bool {
 	now := clock.Boot()
-	service := view.Configuration.Services[server.Service]
+	service := view.Services[server.Service]
 	if now >= coldUntil || service == nil || service.ColdPerSecond <= 0 {
 		return true
 	}
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -26,7 +26,7 @@
 			c := newController()
 			bounds := site.Bounds{ColdOverage: 1.5, ColdSlack: 5}
 			c.gateway.currentBounds.Store(&bounds)
-			c.configuration = &site.Configuration{Services: map[string]*site.Service{"plain": service}}
+			c.putInForce(&site.Configuration{Services: map[string]*site.Service{"plain": service}})
 			c.servers.put(clock.Boot(), 1, site.Server{ID: "p0", Service: "plain", Born: 1}, tc.coldFor)
 			c.publish(clock.Boot())
 			sent := 0
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,6 +41,8 @@
 	peerSummary     relay.Summary
 	dirty           bool
 	trafficSeen     bool
+	// services are those of the configuration, and former ones that are in use.
+	services map[string]*site.Service
 }
 
 // startController starts the actor that owns the control state.
@@ -224,7 +226,8 @@
 			Int64("in_force", c.configuration.Version).Msg("configuration is not newer than the one in force; ignored")
 		return
 	}
-	c.configuration, c.configurationOffset, c.dirty = next, r.Offset, true
+	c.putInForce(next)
+	c.configurationOffset = r.Offset
 	c.gateway.logger.Info().Str("event", "configuration").Int64("version", next.Version).Int64("offset", r.Offset).
 		Int("routes", next.Routes()).Msg("configuration applied")
 }
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -15,7 +15,7 @@
 func (c *controller) publish(now time.Duration) {
 	c.dirty = false
 	v := &View{
-		Configuration: c.configuration, DomainsOut: c.domainsOut, Replicas: make(map[string][]Replica), OtherDomainEpochs: make(map[int64]bool), PlainServers: make(map[string][]PlainServer),
+		Configuration: c.configuration, Services: c.services, DomainsOut: c.domainsOut, Replicas: make(map[servedModel][]Replica), OtherDomainEpochs: make(map[int64]bool), PlainServers: make(map[string][]PlainServer),
 		Peers: make(map[string]heartbeat), IncarnationByFront: make(map[string]string), Daemons: 1, Ready: c.canServe(), PeersLoaded: c.loadedTopics[platform.TopicDaemons],
 	}
 	c.addDaemons(v)
@@ -63,7 +63,7 @@
 // addPlainServer adds a server of a service without an engine, if it may get requests.
 func (c *controller) addPlainServer(v *View, e serverEntry) {
 	s := e.server
-	service := c.configuration.Services[s.Service]
+	service := c.services[s.Service]
 	if service == nil || service.Engine != nil || s.Draining || c.domainsOut[s.FailureDomain] {
 		return
 	}
@@ -81,7 +81,8 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		if r, ok := c.buildReplica(now, name, members[name]); ok {
-			v.Replicas[r.Model.Name] = append(v.Replicas[r.Model.Name], r)
+			key := servedModel{service: r.Head.Service, model: r.Model.Name}
+			v.Replicas[key] = append(v.Replicas[key], r)
 			if r.Head.FailureDomain != c.gateway.settings.FailureDomain {
 				v.OtherDomainEpochs[r.Epoch] = true
 			}
@@ -92,7 +93,7 @@
 // buildReplica returns the replica of the given members if it serves. A head that is not listed
 // gets no new requests; other members may be cut off from the store.
 func (c *controller) buildReplica(now time.Duration, name string, members []serverEntry) (Replica, bool) {
-	service := c.configuration.Services[members[0].server.Service]
+	service := c.services[members[0].server.Service]
 	if service == nil || service.Engine == nil {
 		return Replica{}, false
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,7 +118,7 @@
 		now        = time.Now()
 		backoff    time.Duration
 	)
-	for _, r := range view.Replicas[model.Name] {
+	for _, r := range view.Replicas[servedModel{service: c.service.Name, model: model.Name}] {
 		state := b.target(r.Name)
 		route := g.peekRoute(view.destination(r.Head.Address))
 		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -30,13 +30,18 @@
 	LastSeenAt time.Duration
 }
 
+// A servedModel is a model as one service runs it.
+type servedModel struct{ service, model string }
+
 // A View is the state that requests are served from. It is immutable.
 type View struct {
 	Configuration *site.Configuration
+	// Services holds the services of the configuration, and former ones that are in use.
+	Services map[string]*site.Service
 	// DomainsOut holds the failure domains that operators took out of service.
 	DomainsOut map[string]bool
-	// Replicas holds the replicas that serve, by model.
-	Replicas map[string][]Replica
+	// Replicas holds the replicas that serve, by service and model.
+	Replicas map[servedModel][]Replica
 	// OtherDomainEpochs holds the epochs of the replicas that serve in other failure domains.
 	OtherDomainEpochs map[int64]bool
 	// PlainServers holds the servers of services without an engine, by service.
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -19,11 +19,12 @@
 	head := site.Server{ID: "m0", Address: "127.0.0.1:1", Service: "models", FailureDomain: "north"}
 	plain := site.Server{ID: "p0", Address: "127.0.0.1:2", Service: "plain", FailureDomain: "north"}
 	return &View{
-		Configuration: &site.Configuration{Services: map[string]*site.Service{
+		Configuration: &site.Configuration{},
+		Services: map[string]*site.Service{
 			"models": {Name: "models", Engine: &site.Engine{Slots: 8, Stride: 1, Chunk: 1000, Step: time.Millisecond, ReadPerSecond: 10000, Models: []site.Model{model}}},
 			"plain":  {Name: "plain", ColdPerSecond: 4},
-		}},
-		Replicas:     map[string][]Replica{"small": {{Name: "small-1", Epoch: 1, Model: model, Head: head, Members: []string{"m0"}}}},
+		},
+		Replicas:     map[servedModel][]Replica{{service: "models", model: "small"}: {{Name: "small-1", Epoch: 1, Model: model, Head: head, Members: []string{"m0"}}}},
 		PlainServers: map[string][]PlainServer{"plain": {{Server: plain, ColdUntil: clock.Boot() + time.Minute}}},
 		Servers:      map[string]site.Server{head.Address: head, plain.Address: plain},
 		Daemons:      1,
@@ -42,7 +43,7 @@
 	}
 	t.Run("replica", func(t *testing.T) {
 		g, view := newGateway(), newServingView()
-		c := &call{request: platform.Request{Size: dispatch.RequestSize{Model: "small", Prompt: 10, Answer: 10}}, service: view.Configuration.Services["models"]}
+		c := &call{request: platform.Request{Size: dispatch.RequestSize{Model: "small", Prompt: 10, Answer: 10}}, service: view.Services["models"]}
 		c.route, c.deadline = &site.Route{Target: time.Second}, time.Now().Add(time.Minute)
 		replica, refused := g.chooseReplica(view, &stream{call: c})
 		require.Nil(t, refused)
@@ -53,7 +54,7 @@
 		g, view := newGateway(), newServingView()
 		sent := 0
 		for range 50 {
-			if _, ok, _ := g.choosePlain(view, &call{service: view.Configuration.Services["plain"]}, nil); ok {
+			if _, ok, _ := g.choosePlain(view, &call{service: view.Services["plain"]}, nil); ok {
 				sent++
 			}
 		}
