--- a/gateway/control.go
+++ b/gateway/control.go
@@ -41,6 +41,8 @@
 	peerSummary     relay.Summary
 	dirty           bool
 	trafficSeen     bool
+	// services are those of the configuration, and former ones that are in use.
+	services map[string]*site.Service
 }
 
 // startController starts the actor that owns the control state.
@@ -140,8 +142,11 @@
 // applyPage applies records of a topic.
 func (c *controller) applyPage(now time.Duration, m topicPage) {
 	if c.failedTopics[m.topic] {
-		c.gateway.logger.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("topic", m.topic).
-			Dur("missed", m.sincePrevious).Msg("store topic can be read again")
+		line := c.gateway.logger.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("topic", m.topic)
+		if c.loadedTopics[m.topic] {
+			line = line.Dur("missed", m.sincePrevious)
+		}
+		line.Msg("store topic can be read again")
 	}
 	c.failedTopics[m.topic] = false
 	switch m.topic {
@@ -222,7 +227,8 @@
 			Int64("in_force", c.configuration.Version).Msg("configuration is not newer than the one in force; ignored")
 		return
 	}
-	c.configuration, c.configurationOffset, c.dirty = next, r.Offset, true
+	c.putInForce(next)
+	c.configurationOffset = r.Offset
 	c.gateway.configurationAt.Store(int64(clock.Boot()))
 	c.gateway.logger.Info().Str("event", "configuration").Int64("version", next.Version).Int64("offset", r.Offset).
 		Int("routes", next.Routes()).Msg("configuration applied")
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -83,6 +83,7 @@
 			t.Parallel()
 			g := newController().gateway
 			peer := httptest.NewServer(link.AcceptExchanges("secret", g.links, func(ctx context.Context, q detourRequest, send func(detourPart) error) {
+				require.Equal(t, "s", q.Server, "the server that the request was meant for")
 				require.Equal(t, "body", string(q.Body))
 				require.Equal(t, "/buy/x?a=%20", q.Target)
 				tc.helper(ctx, send)
@@ -91,7 +92,7 @@
 			var group task.Group
 			g.linkGroup.Store(&group)
 			g.view.Store(&View{
-				Servers:            map[string]site.Server{address: {ID: "s", Address: address}},
+				Servers:            map[string]site.Server{address: {ID: "successor", Address: address}},
 				Peers:              map[string]heartbeat{"h1": {Front: "h", Ready: true, Peer: strings.TrimPrefix(peer.URL, "http://"), Secret: "secret"}},
 				IncarnationByFront: map[string]string{"h": "h1"},
 			})
@@ -137,7 +138,7 @@
 		{"silent_there", &helperRefusedError{reason: refusedUnreachable}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			err := newController().gateway.unreachable("a:1", refused, tc.reason)
+			err := newController().gateway.unreachable(detour.Server{Address: "a:1"}, refused, tc.reason)
 			require.Equal(t, tc.want, isRefused(err))
 			require.True(t, isUnreached(err))
 		})
@@ -145,7 +146,7 @@
 }
 
 // TestHelperRefuses guards against a request that reaches a server through another daemon although that
-// daemon knows better (P52): either one's knowledge is enough.
+// daemon knows better (P52), also while the controller publishes another view: either one's knowledge is enough.
 func TestHelperRefuses(t *testing.T) {
 	const address = "127.0.0.1:1"
 	server := site.Server{ID: "s", Address: address, Born: 1, FailureDomain: "north"}
@@ -189,8 +190,8 @@
 			g.startController()
 			t.Cleanup(func() { g.system.Shutdown() })
 			tc.do(g, v, &q)
-			g.view.Store(v)
-			require.Equal(t, tc.want, g.refusesDetour(q, v.Servers[address]))
+			g.view.Store(&View{})
+			require.Equal(t, tc.want, g.refusesDetour(v, q))
 		})
 	}
 }
@@ -199,13 +200,13 @@
 func TestHelpersOfTheRegion(t *testing.T) {
 	g := newController().gateway
 	g.settings.Region = "here"
-	g.view.Store(&View{
+	view := &View{
 		Peers: map[string]heartbeat{
 			"1": {Ready: true, Peer: "a", Region: "here"}, "2": {Ready: true, Peer: "b", Region: "there"}, "3": {Peer: "c", Region: "here"},
 		},
 		IncarnationByFront: map[string]string{"near": "1", "far": "2", "starting": "3"},
-	})
-	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(nil))
+	}
+	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(view, nil))
 }
 
 // TestUnacknowledgedBytes guards against connections to a peer that is gone which nothing closes: the
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -264,7 +264,7 @@
 		line = line.Str("why", c.detail)
 	}
 	line = g.addEnd(line, c, status)
-	line.Dur("configuration_age", clock.Boot()-time.Duration(g.confirmedAt.Load())).Msg("")
+	withAge(line, "configuration_age", clock.Boot(), time.Duration(g.confirmedAt.Load())).Msg("")
 }
 
 // timedOut returns the refusal of a call whose deadline has passed.
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -80,7 +80,8 @@
 // says why there is none.
 func (g *Gateway) startAttempt(ctx context.Context, s *stream) *refusal {
 	c := s.call
-	replica, refused := g.chooseReplica(s)
+	view := g.view.Load()
+	replica, refused := g.chooseReplica(view, s)
 	if refused != nil {
 		return refused
 	}
@@ -109,7 +110,7 @@
 		a.parts = c.parts
 	}
 	run.attempt, s.runs[run.number] = a, run
-	g.checkDispatch(replica)
+	g.checkDispatch(view, replica)
 	g.tracker.add(a)
 	c.sent++
 	g.work.Go(ctx, "attempt", func(ctx context.Context) error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,9 +95,9 @@
 }
 
 // chooseReplica returns the replica with the earliest expected first token, or a refusal if no
-// replica can serve the request in time.
-func (g *Gateway) chooseReplica(s *stream) (Replica, *refusal) {
-	c, view := s.call, g.view.Load()
+// replica of view can serve the request in time.
+func (g *Gateway) chooseReplica(view *View, s *stream) (Replica, *refusal) {
+	c := s.call
 	if !g.configurationFresh() && c.sent == 0 {
 		return Replica{}, unavailable("stale_configuration")
 	}
@@ -115,10 +115,10 @@
 		now        = time.Now()
 		backoff    time.Duration
 	)
-	for _, r := range view.Replicas[model.Name] {
+	for _, r := range view.Replicas[servedModel{service: c.service.Name, model: model.Name}] {
 		state := b.target(r.Name)
-		route := g.peekRoute(r.Head.Address)
-		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(state, r.Head, r.ColdUntil, false) {
+		route := g.peekRoute(view.destination(r.Head.Address))
+		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
 			continue
 		}
 		other := b.workAtPeers(r.Epoch, now)
@@ -146,7 +146,7 @@
 		c.detail = fmt.Sprintf("first token expected in %v", expected.Round(time.Millisecond))
 		return Replica{}, unavailable("overload")
 	}
-	g.admitsCold(b.target(replicas[i].Name), replicas[i].Head, replicas[i].ColdUntil, true)
+	g.admitsCold(view, b.target(replicas[i].Name), replicas[i].Head, replicas[i].ColdUntil, true)
 	return replicas[i], nil
 }
 
@@ -228,13 +228,11 @@
 	return &serverError{answer: answer}
 }
 
-// checkDispatch checks, right before a request is sent to a replica, that the replica is complete and
-// that its failure domain is in service unless the current view still lists it.
-func (g *Gateway) checkDispatch(r Replica) {
-	view := g.view.Load()
-	i := slices.IndexFunc(view.Replicas[r.Model.Name], func(v Replica) bool { return v.Name == r.Name })
+// checkDispatch checks, right before a request is sent to a replica that was chosen from view, that the
+// replica is complete and that its failure domain is in service.
+func (g *Gateway) checkDispatch(view *View, r Replica) {
 	g.monitor.Check(len(r.Members) == r.Model.Size, invariant.CompleteReplica, "replica %s has %d members", r.Name, len(r.Members))
-	g.monitor.Check(i >= 0 || !view.DomainsOut[r.Head.FailureDomain], invariant.DomainOut, "failure domain %s is out of service", r.Head.FailureDomain)
+	g.monitor.Check(!view.DomainsOut[r.Head.FailureDomain], invariant.DomainOut, "failure domain %s is out of service", r.Head.FailureDomain)
 }
 
 const (
