--- a/transport/link/call.go
+++ b/transport/link/call.go
@@ -50,12 +50,12 @@
 
 // Next blocks until the next message of the answer arrives and returns it.
 func (c *Call[M]) Next() (M, error) {
-	var message M
 	_, data, err := c.conn.Read(c.ctx)
-	if err == nil {
-		err = cbor.Unmarshal(data, &message)
+	if err != nil {
+		var none M
+		return none, err
 	}
-	return message, err
+	return decode[M](data)
 }
 
 // AcceptCalls returns the handler of calls that peers dial. It calls handle with the request and a
@@ -80,7 +80,7 @@
 		if _, data, err = conn.Read(r.Context()); err != nil {
 			return
 		}
-		if err = cbor.Unmarshal(data, &request); err != nil {
+		if request, err = decode[R](data); err != nil {
 			return
 		}
 		ctx := conn.CloseRead(r.Context())
--- a/transport/link/exchange.go
+++ b/transport/link/exchange.go
@@ -138,7 +138,7 @@
 		}
 		counters.Received.Add(1)
 		counters.ReceivedBytes.Add(int64(len(data)))
-		if err = cbor.Unmarshal(data, &answer); err != nil {
+		if answer, err = decode[A](data); err != nil {
 			// What follows can't be told from what is missing.
 			return
 		}
@@ -263,7 +263,7 @@
 		counters.Received.Add(1)
 		counters.ReceivedBytes.Add(int64(len(data)))
 		var request Q
-		if err = cbor.Unmarshal(data, &request); err != nil {
+		if request, err = decode[Q](data); err != nil {
 			counters.Dropped.Add(1)
 			return
 		}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -160,7 +160,7 @@
 			counters.Received.Add(1)
 			counters.ReceivedBytes.Add(int64(len(data)))
 			var message M
-			if err = cbor.Unmarshal(data, &message); err != nil {
+			if message, err = decode[M](data); err != nil {
 				counters.Dropped.Add(1)
 				continue
 			}
