--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -120,7 +120,7 @@
 func TestDomainThatWasCutOff(t *testing.T) {
 	head := site.Server{ID: "head", Born: 1, FailureDomain: "cut", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}
 	other := site.Server{ID: "other", Born: 1, FailureDomain: "sound"}
-	member := `{"service":"models","address":"a","zone":"cut","state":"ready","born":%d,"seq":9,"group":{"name":"m/1/1","epoch":1,"rank":1,"state":"ready"}}`
+	member := `{"service":"models","address":"a:1","zone":"cut","state":"ready","born":%d,"seq":9,"group":{"name":"m/1/1","epoch":1,"rank":1,"state":"ready"}}`
 	for _, tc := range []struct {
 		name string
 		key  string
