--- a/gateway/control.go
+++ b/gateway/control.go
@@ -261,6 +261,7 @@
 // applyServerRemoval applies the removal of a server's entry. A replica member that is cut off from
 // the store stays in its replica for a while, unless it is known to be dead.
 func (c *controller) applyServerRemoval(now time.Duration, r relay.Record) {
+	delete(c.brokenEntries, r.Key)
 	if !c.servers.remove(now, r, c.gateway.bounds().ServerHeartbeat) {
 		return
 	}
@@ -277,15 +278,20 @@
 		Int64("offset", r.Offset).Msg("entry of a replica member lapsed without draining; server seems cut off from the store")
 }
 
-// recordBrokenEntry records an entry by another writer that cannot be decoded, and removes the
-// server listed under its key.
+// maxLoggedErrorBytes bounds the text of an error that contains what another program wrote.
+const maxLoggedErrorBytes = 512
+
+// recordBrokenEntry records an entry by another writer that cannot be decoded. The server that is listed
+// under its key keeps serving: it may be a member of a replica, and soon writes its own entry again.
 func (c *controller) recordBrokenEntry(now time.Duration, r relay.Record, err error) {
 	if _, known := c.brokenEntries[r.Key]; !known {
 		c.gateway.metrics.events.Add("broken_entries", 1)
-		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).Err(err).Msg("server entry cannot be decoded; ignored")
+		text := err.Error()
+		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).
+			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("server entry cannot be decoded; ignored")
 	}
 	c.brokenEntries[r.Key] = r.Offset
-	c.dirty = c.servers.remove(now, r, 0) || c.dirty
+	c.servers.overwrite(now, r)
 }
 
 // coldDuration returns how long a server of s's service is cold after its start: not at all before
--- /dev/null
+++ b/gateway/entries_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// smallReplica configures a model of two members.
+var smallReplica = &site.Configuration{Version: 1, Services: map[string]*site.Service{
+	"models": {Name: "models", Engine: &site.Engine{Models: []site.Model{{Name: "small", Size: 2}}}},
+}}
+
+// newServingController returns a controller that has read the entries of a head "s0" and a member "s1" of
+// a replica that serves, and the log lines that it writes.
+func newServingController(t *testing.T) (*controller, *bytes.Buffer) {
+	c, lines := newController(), new(bytes.Buffer)
+	c.gateway.logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: lines}}
+	c.configuration = smallReplica
+	c.receiveServers(0, 1, memberEntry("s0", 0, "open"), memberEntry("s1", 1, "ready"))
+	c.requireServing(t, 0, "s0", "s1")
+	return c, lines
+}
+
+// memberEntry returns the record of a member of the replica small/1/1.
+func memberEntry(id string, rank int, state string) relay.Record {
+	text := `{"service":"models","address":"10.0.0.` + id[1:] + `:1","state":"ready","seq":1,"born":5,"group":{"name":"small/1/1","epoch":1000001,"rank":` +
+		string(rune('0'+rank)) + `,"state":"` + state + `"}}`
+	return relay.Record{Key: id, Value: []byte(text)}
+}
+
+// receiveServers applies records that follow each other from an offset on.
+func (c *controller) receiveServers(now time.Duration, offset int64, records ...relay.Record) {
+	for n := range records {
+		records[n].Offset = offset + int64(n)
+	}
+	c.applyServerRecords(now, topicPage{topic: platform.TopicServers, update: relay.Update{Records: records, End: offset + int64(len(records))}})
+}
+
+// requireServing checks that the one replica that serves at now has the given members, or that there is
+// none.
+func (c *controller) requireServing(t *testing.T, now time.Duration, members ...string) {
+	t.Helper()
+	c.servers.expire(now)
+	c.publish(now)
+	replicas := c.gateway.view.Load().Replicas["small"]
+	if len(members) == 0 {
+		require.Empty(t, replicas)
+		return
+	}
+	require.Len(t, replicas, 1)
+	require.Equal(t, members, replicas[0].Members)
+}
+
+// TestBrokenEntryOfAMember guards against taking a replica apart for bytes that another writer left under
+// the key of a member, which goes on serving and writes its own entry again (P64).
+func TestBrokenEntryOfAMember(t *testing.T) {
+	broken := func(text string) relay.Record { return relay.Record{Key: "s1", Value: []byte(text)} }
+	t.Run("replica_serves_on", func(t *testing.T) {
+		c, lines := newServingController(t)
+		c.receiveServers(time.Second, 10, broken("{"), broken(strings.Repeat("x", 100_000)), broken("null"))
+		c.requireServing(t, 2*time.Second, "s0", "s1")
+		require.Equal(t, 1, strings.Count(lines.String(), `"event":"broken_entry","server":"s1"`), lines.String())
+	})
+	t.Run("until_the_server_writes_again", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, broken("{"), memberEntry("s1", 1, "ready"))
+		c.requireServing(t, time.Hour, "s0", "s1")
+	})
+	t.Run("own_entry_wins", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, broken("{"), relay.Record{Key: "s1", Value: []byte(`{"service":"models","address":"10.0.0.1:1","state":"draining","seq":2,"born":5}`)})
+		c.requireServing(t, 2*time.Second)
+	})
+	t.Run("not_if_the_server_is_gone", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, broken("{"))
+		c.receiveServers(5*time.Second, 11, broken("["))
+		c.requireServing(t, time.Second+overwrittenTTL)
+	})
+	t.Run("nor_after_a_listing", func(t *testing.T) {
+		c, _ := newServingController(t)
+		head, overwritten := memberEntry("s0", 0, "open"), broken("{")
+		head.Offset, overwritten.Offset = 8, 9
+		c.applyServerRecords(time.Second, topicPage{topic: platform.TopicServers, update: relay.Update{Whole: true, Records: []relay.Record{head, overwritten}, End: 10}})
+		c.requireServing(t, 2*time.Second, "s0", "s1")
+	})
+	t.Run("not_after_its_removal", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, broken("{"), broken(""))
+		c.requireServing(t, time.Second)
+	})
+	t.Run("no_server_of_an_unknown_key", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, relay.Record{Key: "odd", Value: []byte(`{"service":"models","address":"10.0.0.9:65536","state":"ready"}`)})
+		require.Len(t, c.servers.all(), 2)
+	})
+	t.Run("long_error", func(t *testing.T) {
+		c, lines := newServingController(t)
+		lines.Reset()
+		c.receiveServers(time.Second, 10, broken(`{"seq":`+strings.Repeat("9", 100_000)+`}`))
+		require.Less(t, lines.Len(), 2000)
+	})
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -284,7 +284,7 @@
 		LoadLimit: service.Engine.LoadsPerSecond * c.gateway.bounds().CeilingWindow.Seconds(), LoadWindow: c.gateway.bounds().CeilingWindow,
 	}
 	for _, e := range c.servers.all() {
-		if e.server.Service != service.Name || e.expiresAt != 0 && !e.cutOff {
+		if e.server.Service != service.Name || !e.isUsable() {
 			continue
 		}
 		f.Servers[e.server.ID], f.LastModel[e.server.ID] = e.server, e.lastModel
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -25,6 +25,9 @@
 	reportTTL = 1500 * time.Millisecond
 	// cutOffTTL bounds how long a replica member may be cut off from the store.
 	cutOffTTL = 10 * time.Second
+	// overwrittenTTL is how long a server stays listed after another writer has overwritten its entry:
+	// well beyond the three heartbeats after which an entry lapses.
+	overwrittenTTL = 10 * time.Second
 )
 
 // A serverEntry is one server of the list. coldUntil is on the boot clock.
@@ -34,16 +37,22 @@
 	coldUntil time.Duration
 	// lastModel is the model of the last replica that this incarnation was a member of.
 	lastModel string
-	// expiresAt is when an entry is dropped that lapsed during an outage of the store or whose
-	// server is cut off from the store; zero while the entry is listed.
+	// expiresAt is when an entry is dropped that lapsed during an outage of the store, whose server is
+	// cut off from the store, or that another writer has overwritten; zero while the entry is listed.
 	expiresAt time.Duration
 	// reportedAt is when the membership was last reported first-hand, ahead of the list.
 	reportedAt time.Duration
 	// cutOff means that the server is a replica member and seems to be cut off from the store: its
 	// entry lapsed although it was not leaving.
 	cutOff bool
+	// overwritten means that another writer has overwritten the entry since the server wrote it.
+	overwritten bool
 }
 
+// isUsable returns whether the server may be a member of a replica: it is listed, cut off from the store,
+// or its entry is overwritten.
+func (e serverEntry) isUsable() bool { return e.expiresAt == 0 || e.cutOff || e.overwritten }
+
 // A roster is this daemon's copy of the list of servers. The zero roster is empty.
 type roster struct {
 	entries        map[string]serverEntry
@@ -128,7 +137,21 @@
 func (r *roster) isReturning(s site.Server) bool {
 	e, known := r.entries[s.ID]
 	_, removed := r.removedOffsets[s.ID]
-	return known && e.expiresAt != 0 || !known && removed
+	return known && e.expiresAt != 0 && !e.overwritten || !known && removed
+}
+
+// overwrite records that another writer has overwritten the entry of a server. The server stays listed as
+// it last described itself, until its next entry or for overwrittenTTL.
+func (r *roster) overwrite(now time.Duration, record relay.Record) {
+	e, ok := r.entries[record.Key]
+	if !ok || record.Offset <= e.offset {
+		return
+	}
+	if e.expiresAt == 0 {
+		e.expiresAt, e.overwritten = now+overwrittenTTL, true
+	}
+	e.offset = record.Offset
+	r.entries[record.Key] = e
 }
 
 // sameServer returns whether two entries are equal but for their sequence numbers.
@@ -149,12 +172,12 @@
 		return false
 	}
 	if now < r.graceUntil && !e.server.Draining {
-		e.expiresAt = r.graceUntil
+		e.expiresAt, e.overwritten = r.graceUntil, false
 		r.entries[record.Key] = e
 		return false
 	}
 	if e.lapsedWhileServing(record.Idle, heartbeat) {
-		e.expiresAt, e.cutOff, e.offset = now+cutOffTTL, true, record.Offset
+		e.expiresAt, e.cutOff, e.overwritten, e.offset = now+cutOffTTL, true, false, record.Offset
 		r.entries[record.Key] = e
 		return true
 	}
