--- a/gateway/control.go
+++ b/gateway/control.go
@@ -284,14 +284,19 @@
 // recordBrokenEntry records an entry by another writer that cannot be decoded. The server that is listed
 // under its key keeps serving: it may be a member of a replica, and soon writes its own entry again.
 func (c *controller) recordBrokenEntry(now time.Duration, r relay.Record, err error) {
+	c.logBrokenEntry(r, err)
+	c.servers.overwrite(now, r)
+}
+
+// logBrokenEntry logs an entry that names no server to use, once for each key.
+func (c *controller) logBrokenEntry(r relay.Record, err error) {
 	if _, known := c.brokenEntries[r.Key]; !known {
 		c.gateway.metrics.events.Add("broken_entries", 1)
 		text := err.Error()
 		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).
-			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("server entry cannot be decoded; ignored")
+			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("server entry is not one of a server; ignored")
 	}
 	c.brokenEntries[r.Key] = r.Offset
-	c.servers.overwrite(now, r)
 }
 
 // coldDuration returns how long a server of s's service is cold after its start: not at all before
--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -110,3 +110,44 @@
 		require.Less(t, lines.Len(), 2000)
 	})
 }
+
+// TestContestedMembership guards against an entry of another writer that claims a place in a replica that
+// serves: all daemons stopped using the replica, and its leader closed it (P64).
+func TestContestedMembership(t *testing.T) {
+	claim := func(id, group string) relay.Record {
+		return relay.Record{Key: id, Value: []byte(`{"service":"models","address":"10.0.0.9:1","state":"ready","seq":1,"born":9,"group":{"name":"small/1/1",` + group + `}}`)}
+	}
+	for _, tc := range []struct{ name, group string }{
+		{"rank_of_the_head", `"epoch":1000001,"rank":0,"state":"open"`},
+		{"rank_of_a_member", `"epoch":1000001,"rank":1,"state":"ready"`},
+		{"rank_beyond_the_model", `"epoch":1000001,"rank":2,"state":"ready"`},
+		{"later_epoch", `"epoch":1000002,"rank":0,"state":"open"`},
+		{"earlier_epoch", `"epoch":1,"rank":0,"state":"joining"`},
+		{"highest_epoch", `"epoch":9007199254740992,"rank":65535,"state":"broken"`},
+	} {
+		for _, id := range []string{"a", "z"} {
+			t.Run(tc.name+"/"+id, func(t *testing.T) {
+				c, lines := newServingController(t)
+				c.receiveServers(time.Second, 10, claim(id, tc.group))
+				c.requireServing(t, time.Second, "s0", "s1")
+				c.requireServing(t, 2*time.Second, "s0", "s1")
+				require.Equal(t, 1, strings.Count(lines.String(), `"event":"broken_entry","server":"`+id+`"`), lines.String())
+				require.Len(t, c.consistentServers(), 2, "servers that the leader uses")
+			})
+			t.Run(tc.name+"/"+id+"/in_a_listing", func(t *testing.T) {
+				c, _ := newServingController(t)
+				c.servers = roster{}
+				// The servers have written their entries many times since the other writer left its own.
+				c.receiveServers(time.Second, 10, claim(id, tc.group), memberEntry("s0", 0, "open"), memberEntry("s1", 1, "ready"))
+				c.requireServing(t, time.Second, "s0", "s1")
+			})
+		}
+	}
+	t.Run("place_of_a_removed_member", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, claim("z", `"epoch":1000001,"rank":1,"state":"ready"`))
+		c.requireServing(t, time.Second, "s0", "s1")
+		c.receiveServers(time.Second, 11, relay.Record{Key: "s1"})
+		c.requireServing(t, time.Second)
+	})
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -283,7 +283,7 @@
 		TrafficStarted: c.trafficStarted(), StallTimeout: c.gateway.bounds().Stall,
 		LoadLimit: service.Engine.LoadsPerSecond * c.gateway.bounds().CeilingWindow.Seconds(), LoadWindow: c.gateway.bounds().CeilingWindow,
 	}
-	for _, e := range c.servers.all() {
+	for _, e := range c.consistentServers() {
 		if e.server.Service != service.Name || !e.isUsable() {
 			continue
 		}
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -20,7 +20,7 @@
 	}
 	c.addDaemons(v)
 	if c.configuration != nil {
-		listed := c.servers.all()
+		listed := c.consistentServers()
 		v.Servers = make(map[string]site.Server, len(listed))
 		for _, s := range listed {
 			v.Servers[s.server.Address] = s.server
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -45,6 +45,10 @@
 	// cutOff means that the server is a replica member and seems to be cut off from the store: its
 	// entry lapsed although it was not leaving.
 	cutOff bool
+	// claimedAt is when the server was first seen in its place in its replica, and refused means that this
+	// place belongs to another server or to none.
+	claimedAt time.Duration
+	refused   bool
 	// overwritten means that another writer has overwritten the entry since the server wrote it.
 	overwritten bool
 }
@@ -93,6 +97,7 @@
 	if s.Member.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(s.Member.Group)
 	}
+	e.keepClaim(now, old)
 	if s.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+s.ColdFor)
 	}
@@ -108,7 +113,9 @@
 		// The report was requested before the list showed a later state.
 		return false
 	}
+	old := e
 	e.server.Member, e.reportedAt = m, now
+	e.keepClaim(now, old)
 	if m.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(m.Group)
 	}
@@ -116,6 +123,15 @@
 	return true
 }
 
+// keepClaim keeps what is known of the place of a server in its replica, unless its entry before, old, was
+// of another place or incarnation.
+func (e *serverEntry) keepClaim(now time.Duration, old serverEntry) {
+	e.claimedAt, e.refused = now, false
+	if a, b := e.server.Member, old.server.Member; e.server.Born == old.server.Born && a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank {
+		e.claimedAt, e.refused = old.claimedAt, old.refused
+	}
+}
+
 // supersedes returns whether membership a is later than b, as far as that can be determined.
 func supersedes(a, b site.Membership) bool {
 	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.State > b.State
