--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -41,7 +41,7 @@
 // collectIdle lists the idle servers by fabric domain.
 func (s *step) collectIdle() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
-		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.outOfService(server) && !s.mayReopen(server) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.failedLately(server) && !s.outOfService(server) && !s.mayReopen(server) {
 			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
 		}
 	}
@@ -140,13 +140,16 @@
 	return best
 }
 
-// capable returns those of servers that can run m without a load, the fastest to be ready first.
+// capable returns those of servers that can run m without a load: first those that did not fail lately,
+// then the fastest to be ready.
 // Before traffic starts, it returns all of them.
 func (s *step) capable(servers []site.Server, m site.Model) []site.Server {
 	out := slices.DeleteFunc(slices.Clone(servers), func(server site.Server) bool {
 		return s.fleet.TrafficStarted && s.timeToReady(server, m) >= m.Load
 	})
-	slices.SortStableFunc(out, func(a, b site.Server) int { return cmp.Compare(s.timeToReady(a, m), s.timeToReady(b, m)) })
+	slices.SortStableFunc(out, func(a, b site.Server) int {
+		return cmp.Or(cmp.Compare(s.planner.failures[a.ID].count, s.planner.failures[b.ID].count), cmp.Compare(s.timeToReady(a, m), s.timeToReady(b, m)))
+	})
 	return out
 }
 
--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -41,7 +41,11 @@
 // likely to need.
 func (s *step) stageModels() {
 	for id, l := range s.planner.loading {
-		if server, ok := s.fleet.Servers[id]; !ok || s.now-l.at > 2*longestLoadTime(s.fleet.Engine) || s.now-l.at > loadVisibleAfter && !s.runsAtMostOneModel(server) {
+		server, ok := s.fleet.Servers[id]
+		if ok && s.now-l.at > 2*longestLoadTime(s.fleet.Engine) && s.fleet.TrafficStarted && len(server.Staged) == 0 {
+			s.planner.recordFailure(s.now, id)
+		}
+		if !ok || s.now-l.at > 2*longestLoadTime(s.fleet.Engine) || s.now-l.at > loadVisibleAfter && !s.runsAtMostOneModel(server) {
 			delete(s.planner.loading, id)
 		}
 	}
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -70,6 +70,8 @@
 	highestEpoch map[string]int64
 	// successorOrdered holds the lost replicas whose successor has already been ordered.
 	successorOrdered map[string]bool
+	// failures holds the servers that failed to carry out an order.
+	failures map[string]failure
 	// pending are servers that have not reported the effect of an order yet.
 	pending   []site.Server
 	steppedAt time.Duration
@@ -107,7 +109,7 @@
 		term: term, termStart: now, forming: make(map[string]*formingReplica), heads: make(map[string]*head),
 		sentOrders: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), serverCountGrewAt: now,
-		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool),
+		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure),
 	}
 }
 
@@ -135,6 +137,9 @@
 			h.confirm(o.Server)
 		}
 	}
+	if a == Absent {
+		p.recordFailure(now, o.Server)
+	}
 	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
 		f.failed = true
 	}
@@ -182,6 +187,7 @@
 	}
 	p.formTime = f.Engine.Form
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), replicaCount: make(map[string]int)}
+	s.forgetFailures()
 	s.collectReplicas()
 	s.reconcileReplicas()
 	s.reconcileHeld()
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -436,3 +436,47 @@
 	require.Len(t, sim.orders, ordersBefore, "no orders should be sent to a domain that is out of service")
 	require.Equal(t, before, sim.open(), "its replicas should serve as soon as it is back in service")
 }
+
+// TestServersThatAreNotThere guards against forming the same replica again and again with a listed server
+// that never joins, such as one that another writer listed, while the others of its domain wait for it.
+func TestServersThatAreNotThere(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		absent, traffic bool
+		odd             int
+	}{
+		{"nothing_at_its_address", true, false, 1},
+		{"no_answer", false, false, 1},
+		{"nothing_at_its_address_under_load", true, true, 1},
+		{"no_answer_under_load", false, true, 1},
+		{"several", true, false, 5},
+		{"several_without_an_answer", false, true, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			simulate := func(odd int) *simulation {
+				sim := newSimulation(t, 1, 8)
+				sim.fleet.TrafficStarted, sim.absent = tc.traffic, make(map[string]bool)
+				for n := range odd {
+					id := fmt.Sprintf("a%d", n)
+					sim.fleet.Servers[id] = site.Server{ID: id, Address: id, FailureDomain: "zone", FabricDomain: "d0", Born: 1, Staged: []string{"large", "small"}}
+					sim.absent[id] = tc.absent
+				}
+				for id, s := range sim.actual {
+					s.Staged = []string{"large", "small"}
+					sim.actual[id], sim.fleet.Servers[id] = s, s
+				}
+				sim.run(30 * time.Second)
+				return sim
+			}
+			serving := func(sim *simulation) int { return 4*sim.open()["large"] + 2*sim.open()["small"] }
+			want, sim := serving(simulate(0)), simulate(tc.odd)
+			require.GreaterOrEqual(t, serving(sim), want, "servers that serve: %v", sim.open())
+			sim.run(2 * time.Minute)
+			require.GreaterOrEqual(t, serving(sim), want, "servers that serve: %v", sim.open())
+			sim.orders = nil
+			sim.run(time.Minute)
+			// One try a minute, with an order each 0.3 s for five seconds.
+			require.Less(t, len(sim.orders), 8+2*17*tc.odd, "orders in a minute")
+		})
+	}
+}
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -72,8 +72,13 @@
 // reconcileReplicas opens complete replicas, closes those that lack a member, and continues with
 // those that are being formed.
 func (s *step) reconcileReplicas() {
-	for _, f := range s.planner.forming {
-		f.failed = f.failed || s.abandoned(f)
+	for name, f := range s.planner.forming {
+		if !f.failed && s.abandoned(f) {
+			f.failed = true
+			if s.now-f.at > joinTimeout {
+				s.recordAbandoned(name, f)
+			}
+		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.replicas)) {
 		r := s.replicas[name]
@@ -203,6 +208,7 @@
 		s.busy[id], s.serving[id] = true, true
 		server := s.fleet.Servers[id]
 		if server.Member.Epoch == f.epoch {
+			delete(s.planner.failures, id)
 			continue
 		}
 		if s.mayJoin(server, name) {
