--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -22,7 +22,7 @@
 	leaderReadInterval  = 300 * time.Millisecond
 	// daemonsReadInterval is the time between reads of the daemons' heartbeats.
 	daemonsReadInterval = 600 * time.Millisecond
-	// readTimeout bounds a read in addition to its long poll. A slow store takes a few hundred
+	// readTimeout bounds a read in addition to its long poll, and each page of a listing. A slow store takes a few hundred
 	// milliseconds.
 	readTimeout = 900 * time.Millisecond
 	// retryInterval is the initial pause after a failed call to the store.
@@ -207,11 +207,11 @@
 // readTopic reads topic once: the newest record of each key if whole is set, otherwise the records
 // from next on.
 func (g *Gateway) readTopic(ctx context.Context, topic string, next int64, wait time.Duration, whole bool) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-	defer cancel()
 	g.metrics.storeCalls.Add("read", 1)
 	if whole {
 		return g.store.Newest(ctx, topic)
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
 	return g.store.Read(ctx, topic, next, wait)
 }
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -1,6 +1,11 @@
 package gateway
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,3 +46,20 @@
 		})
 	}
 }
+
+// TestListingOfManyPages guards against a list of servers that is never read: each page is answered in time,
+// but there are many, since another writer left large entries or the store is slow (LOST).
+func TestListingOfManyPages(t *testing.T) {
+	const pages = 4
+	var calls atomic.Int32
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n := calls.Add(1)
+		time.Sleep(readTimeout / 3)
+		_, _ = fmt.Fprintf(w, `{"items":[{"key":"s%d","value":"dg==","offset":%d}],"has_more":%t,"end_offset":9}`, n, n, n < pages)
+	}))
+	defer store.Close()
+	g := New(site.Settings{Store: strings.TrimPrefix(store.URL, "http://")}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
+	page, err := g.readTopic(t.Context(), platform.TopicServers, -1, 0, true)
+	require.NoError(t, err)
+	require.Len(t, page.Records, pages)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,7 +105,7 @@
 		daemonsLoaded: make(chan struct{}),
 	}
 	g.currentBounds.Store(&s.Bounds)
-	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
+	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}, PageTimeout: readTimeout}
 	g.singleUseTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, true)}
 	g.pooledTransport = &serverTransport{gateway: g, direct: newTransport(g.dialServer, false)}
 	orders := &serverTransport{gateway: g, direct: newTransport(g.dialForOrder, false)}
