--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -49,7 +49,7 @@
 	order  formation.Order
 	answer formation.Answer
 	term   int64
-	// unreached means that no daemon reaches the server.
+	// unreached means that no daemon reaches the server, nor this daemon any other one on its own paths.
 	unreached bool
 }
 
@@ -380,22 +380,28 @@
 			g.enqueue(orderResult{order: o, answer: formation.Declined, term: term})
 			return nil
 		}
-		g.metrics.orders.Add(o.Action.String(), 1)
-		answer, err := g.engines.Order(ctx, o)
-		line := g.logger.Info().Str("event", "order").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-			Int64("epoch", o.Epoch).Int64("term", term).Str("model", o.Model).Str("answer", answer.String())
-		if err != nil {
-			line = line.Err(err)
-		}
-		line.Msg("order sent to server")
-		if errors.Is(err, context.DeadlineExceeded) {
-			g.checkPath(o.Address)
-		}
-		g.enqueue(orderResult{order: o, answer: answer, term: term, unreached: errors.Is(err, errNoPath)})
+		g.enqueue(g.deliverOrder(ctx, o, term))
 		return nil
 	})
 }
 
+// deliverOrder sends an order of a term to its server and returns the result.
+func (g *Gateway) deliverOrder(ctx context.Context, o formation.Order, term int64) orderResult {
+	began := clock.Boot()
+	g.metrics.orders.Add(o.Action.String(), 1)
+	answer, err := g.engines.Order(ctx, o)
+	line := g.logger.Info().Str("event", "order").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
+		Int64("epoch", o.Epoch).Int64("term", term).Str("model", o.Model).Str("answer", answer.String())
+	if err != nil {
+		line = line.Err(err)
+	}
+	line.Msg("order sent to server")
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.checkPath(o.Address)
+	}
+	return orderResult{order: o, answer: answer, term: term, unreached: errors.Is(err, errNoPath) && !g.ownLinksWork(ctx, o.Address, began)}
+}
+
 // applyOrderResult applies the answer to an order. A daemon whose term was superseded sends no more
 // orders under it.
 func (c *controller) applyOrderResult(now time.Duration, m orderResult) {
--- a/gateway/lead_test.go
+++ b/gateway/lead_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -8,6 +11,8 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/coordination/tenure"
+	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 // TestLeaderWithoutServers guards against a leader whose orders reach nobody and that goes on leading
@@ -67,3 +72,29 @@
 		})
 	}
 }
+
+// TestLeaderBesideAServerThatIsNotThere guards against leaders that resign one after the other since the only
+// server with an order due is one that nobody reaches, such as one that another writer listed (P64).
+func TestLeaderBesideAServerThatIsNotThere(t *testing.T) {
+	const absent, other = "10.0.0.9:1", "10.0.0.1:1"
+	for _, tc := range []struct {
+		name      string
+		linksWork bool
+	}{{"links_work", true}, {"links_are_lost", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newController().gateway
+			g.view.Store(&View{Servers: map[string]site.Server{absent: {ID: "absent", Address: absent}, other: {ID: "other", Address: other}}})
+			g.DialServer = func(_ context.Context, _, address string) (net.Conn, error) {
+				if address == absent || !tc.linksWork {
+					return nil, &net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}
+				}
+				client, _ := net.Pipe()
+				return client, nil
+			}
+			g.paths.paths.Unreachable(clock.Boot(), g.destination(absent))
+			result := g.deliverOrder(t.Context(), formation.Order{Server: "absent", Address: absent, Action: formation.Join}, 1)
+			require.Equal(t, formation.Unknown, result.answer)
+			require.Equal(t, !tc.linksWork, result.unreached)
+		})
+	}
+}
