--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -151,3 +151,23 @@
 		c.requireServing(t, time.Second)
 	})
 }
+
+// TestLargeEntry guards against a list that no hub can send: one message is limited to 8 MB, and a store may
+// take records that are larger (P64).
+func TestLargeEntry(t *testing.T) {
+	large := []byte(`{"service":"` + strings.Repeat("x", 9<<20) + `"}`)
+	for _, tc := range []struct {
+		topic     string
+		wantBytes int
+	}{{platform.TopicServers, platform.MaxEntryBytes + 1}, {platform.TopicOperators, len(large)}} {
+		t.Run(tc.topic, func(t *testing.T) {
+			records := relayRecords(tc.topic, platform.Page{Records: []platform.Record{{Key: "odd", Value: large, Offset: 3}, {Key: "s", Value: []byte("v"), Offset: 4}}})
+			require.Len(t, records, 2)
+			require.Len(t, records[0].Value, tc.wantBytes)
+			require.Equal(t, relay.Record{Key: "s", Value: []byte("v"), Offset: 4}, records[1])
+		})
+	}
+	c, lines := newServingController(t)
+	c.receiveServers(time.Second, 10, relayRecords(platform.TopicServers, platform.Page{Records: []platform.Record{{Key: "odd", Value: large}}})...)
+	require.Contains(t, lines.String(), "entry has more than 65536 bytes")
+}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
@@ -88,10 +89,7 @@
 			continue
 		}
 		expired, failures = false, 0
-		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent}
-		for _, r := range page.Records {
-			update.Records = append(update.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
-		}
+		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent, Records: relayRecords(topic, page)}
 		g.peers.mu.Lock()
 		if topic == platform.TopicOperators {
 			g.peers.storeReadAt = clock.Boot()
@@ -103,6 +101,19 @@
 	return nil
 }
 
+// relayRecords returns the records of a page of topic. Of an entry that is too large for a server only the
+// beginning is kept, so that it fits into messages to other daemons, which refuse it as well.
+func relayRecords(topic string, page platform.Page) []relay.Record {
+	var out []relay.Record
+	for _, r := range page.Records {
+		if topic == platform.TopicServers && len(r.Value) > platform.MaxEntryBytes {
+			r.Value = slices.Clone(r.Value[:platform.MaxEntryBytes+1])
+		}
+		out = append(out, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return out
+}
+
 const (
 	// maxHubBackoff and maxBackoff bound the pause after failed reads. Hubs read for all daemons,
 	// so theirs is shorter; every call to the store counts, even a failed one.
