--- a/gateway/control.go
+++ b/gateway/control.go
@@ -250,6 +250,10 @@
 			c.recordBrokenEntry(now, r, err)
 			continue
 		}
+		if err = c.servers.contradicts(s); err != nil {
+			c.recordBrokenEntry(now, r, err)
+			continue
+		}
 		s.Draining = s.Draining || c.gateway.tracker.isLeaving(s)
 		if c.servers.isReturning(s) {
 			c.clearDeadInDomain(s.FailureDomain)
--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -171,3 +171,49 @@
 	c.receiveServers(time.Second, 10, relayRecords(platform.TopicServers, platform.Page{Records: []platform.Record{{Key: "odd", Value: large}}})...)
 	require.Contains(t, lines.String(), "entry has more than 65536 bytes")
 }
+
+// TestOwnEntryWins guards against a server that is never used again since another writer left a valid entry
+// under its key that looks newer than all that the server writes (P64).
+func TestOwnEntryWins(t *testing.T) {
+	foreign := func(address, born, seq string) relay.Record {
+		return relay.Record{Key: "s1", Value: []byte(`{"service":"models","address":"` + address + `","state":"ready","seq":` + seq + `,"born":` + born + `}`)}
+	}
+	for _, tc := range []struct {
+		name    string
+		entry   relay.Record
+		atOnce  bool
+		noticed bool
+	}{
+		{"later_start", foreign("10.0.0.1:1", "9007199254740992", "1"), false, false},
+		{"later_sequence", foreign("10.0.0.1:1", "5", "9007199254740992"), false, false},
+		{"earlier_start", foreign("10.0.0.9:1", "4", "9"), true, false},
+		{"other_address", foreign("10.0.0.9:1", "5", "9007199254740992"), true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, lines := newServingController(t)
+			c.receiveServers(time.Second, 10, tc.entry)
+			if tc.atOnce {
+				c.requireServing(t, time.Second, "s0", "s1")
+			}
+			// Hubs pass on only the first of the entries that follow, which differ in their sequence.
+			c.receiveServers(2*time.Second, 11, memberEntry("s1", 1, "ready"))
+			c.requireServing(t, 2*time.Second+olderEntryWait, "s0", "s1")
+			require.Equal(t, tc.noticed, strings.Contains(lines.String(), `"event":"broken_entry","server":"s1"`), lines.String())
+			c.receiveServers(time.Minute, 12, memberEntry("s1", 1, "ready"))
+			c.requireServing(t, time.Hour, "s0", "s1")
+		})
+	}
+	t.Run("delayed_entry_of_an_earlier_run", func(t *testing.T) {
+		c, _ := newServingController(t)
+		restarted := foreign("10.0.0.1:1", "6", "1")
+		c.receiveServers(time.Second, 10, restarted, memberEntry("s1", 1, "ready"))
+		c.receiveServers(2*time.Second, 12, foreign("10.0.0.1:1", "6", "2"))
+		c.requireServing(t, time.Hour)
+		require.EqualValues(t, 6, c.servers.entries["s1"].server.Born)
+	})
+	t.Run("removed_meanwhile", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, foreign("10.0.0.1:1", "6", "1"), memberEntry("s1", 1, "ready"), relay.Record{Key: "s1"})
+		c.requireServing(t, time.Hour)
+	})
+}
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 	// overwrittenTTL is how long a server stays listed after another writer has overwritten its entry:
 	// well beyond the three heartbeats after which an entry lapses.
 	overwrittenTTL = 10 * time.Second
+	// olderEntryWait is how long an entry that seems older than the one before must stay the last one of
+	// its key to count: longer than the three heartbeats after which the entry of a silent server lapses.
+	olderEntryWait = 5 * time.Second
 )
 
 // A serverEntry is one server of the list. coldUntil is on the boot clock.
@@ -49,10 +53,20 @@
 	// place belongs to another server or to none.
 	claimedAt time.Duration
 	refused   bool
+	// older is a later entry that seems older than this one, nil if there is none.
+	older *olderEntry
 	// overwritten means that another writer has overwritten the entry since the server wrote it.
 	overwritten bool
 }
 
+// An olderEntry is an entry of an earlier start or with a lower sequence number than the one before. It was
+// delayed, or the one before came from another writer. In the first case the server soon writes again.
+type olderEntry struct {
+	server site.Server
+	offset int64
+	seenAt time.Duration
+}
+
 // isUsable returns whether the server may be a member of a replica: it is listed, cut off from the store,
 // or its entry is overwritten.
 func (e serverEntry) isUsable() bool { return e.expiresAt == 0 || e.cutOff || e.overwritten }
@@ -80,7 +94,12 @@
 		return false
 	}
 	if known && (s.Born < old.server.Born || s.Born == old.server.Born && s.Sequence < old.server.Sequence) {
-		// An older entry that was delayed.
+		seenAt := now
+		if old.older != nil {
+			seenAt = old.older.seenAt
+		}
+		old.older = &olderEntry{server: s, offset: offset, seenAt: seenAt}
+		r.entries[s.ID] = old
 		return false
 	}
 	e := serverEntry{server: s, offset: offset, coldUntil: old.coldUntil}
@@ -232,11 +251,42 @@
 	}
 }
 
-// expire drops the entries that were not renewed in time, and returns whether there were any.
+// expire drops the entries that were not renewed in time, puts older ones in force that nothing followed,
+// and returns whether there were any.
 func (r *roster) expire(now time.Duration) bool {
-	n := len(r.entries)
-	maps.DeleteFunc(r.entries, func(_ string, e serverEntry) bool { return e.expiresAt != 0 && now >= e.expiresAt })
-	return len(r.entries) != n
+	changed := false
+	for id, e := range r.entries {
+		switch {
+		case e.older != nil && now-e.older.seenAt >= olderEntryWait:
+			r.entries[id] = e.replaced(now)
+			changed = true
+		case e.expiresAt != 0 && now >= e.expiresAt:
+			delete(r.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// replaced returns the entry of the server as its older entry describes it.
+func (e serverEntry) replaced(now time.Duration) serverEntry {
+	out := serverEntry{server: e.older.server, offset: e.older.offset, coldUntil: e.coldUntil, lastModel: e.lastModel}
+	if m := out.server.Member; m.State != site.Unassigned {
+		out.lastModel = formation.ModelOf(m.Group)
+	}
+	out.keepClaim(now, e)
+	return out
+}
+
+// contradicts returns an error if s cannot be the same run of a server as its listed entry: the address and
+// the service of one run do not change.
+func (r *roster) contradicts(s site.Server) error {
+	old, known := r.entries[s.ID]
+	if !known || s.Born == 0 || s.Born != old.server.Born || s.Address == old.server.Address && s.Service == old.server.Service {
+		return nil
+	}
+	return fmt.Errorf("entry of server %q: address %q and service %q are not those of the same run, %q and %q",
+		s.ID, s.Address, s.Service, old.server.Address, old.server.Service)
 }
 
 // all returns the entries in the order of their ids.
