--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -303,6 +302,17 @@
 	c.brokenEntries[r.Key] = r.Offset
 }
 
+// logBrokenHeartbeat logs a heartbeat that no daemon can have written, once for each key.
+func (c *controller) logBrokenHeartbeat(r relay.Record, err error) {
+	key := platform.TopicDaemons + "/" + r.Key
+	if _, known := c.brokenEntries[key]; !known {
+		text := err.Error()
+		c.gateway.logger.Warn().Str("event", "broken_heartbeat").Str("peer", r.Key).Int64("offset", r.Offset).
+			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("heartbeat is not one of a daemon; ignored")
+	}
+	c.brokenEntries[key] = r.Offset
+}
+
 // coldDuration returns how long a server of s's service is cold after its start: not at all before
 // the first traffic.
 func (c *controller) coldDuration(s site.Server) time.Duration {
@@ -326,8 +336,15 @@
 		}
 	}
 	for _, r := range m.update.Records {
-		var h heartbeat
-		if err := cbor.Unmarshal(r.Value, &h); err != nil || h.Front != r.Key {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var (
+			h   heartbeat
+			err error
+		)
+		if h, err = decodeHeartbeat(r.Key, r.Value); err != nil {
+			c.logBrokenHeartbeat(r, err)
 			continue
 		}
 		if h.Incarnation != c.gateway.incarnation {
--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -25,6 +25,7 @@
 	c, lines := newController(), new(bytes.Buffer)
 	c.gateway.logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: lines}}
 	c.configuration = smallReplica
+	c.leadership.dead, c.leadership.aliveAt = make(map[string]deadServer), make(map[string]time.Duration)
 	c.receiveServers(0, 1, memberEntry("s0", 0, "open"), memberEntry("s1", 1, "ready"))
 	c.requireServing(t, 0, "s0", "s1")
 	return c, lines
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,6 +57,26 @@
 	Region       string                   `cbor:"15,keyasint,omitempty"`
 }
 
+// maxTerm bounds a term so that its epochs, a million each, stay below 2^53, which JSON represents exactly.
+const maxTerm = 1 << 33
+
+// decodeHeartbeat decodes the heartbeat stored under key. One whose numbers no daemon can have is an error.
+func decodeHeartbeat(key string, text []byte) (heartbeat, error) {
+	var h heartbeat
+	if err := cbor.Unmarshal(text, &h); err != nil {
+		return h, fmt.Errorf("decode heartbeat of daemon %q: %w", key, err)
+	}
+	switch {
+	case h.Front != key:
+		return h, fmt.Errorf("heartbeat of daemon %q has the front address %q", key, h.Front)
+	case h.Term < 0 || h.Term > maxTerm:
+		return h, fmt.Errorf("heartbeat of daemon %q: term %d is out of range", key, h.Term)
+	case math.IsNaN(h.CPUShare) || math.IsInf(h.CPUShare, 0):
+		return h, fmt.Errorf("heartbeat of daemon %q: CPU share %g is out of range", key, h.CPUShare)
+	}
+	return h, nil
+}
+
 // runHeartbeats sends a heartbeat at each interval, and at once on request.
 func (g *Gateway) runHeartbeats(ctx context.Context) error {
 	if !g.settings.FirstRun {
