--- a/gateway/control.go
+++ b/gateway/control.go
@@ -101,6 +101,8 @@
 		c.applyOrderResult(now, m)
 	case probeResult:
 		c.applyProbe(now, m)
+	case runVerified:
+		c.applyRunVerified(now, m)
 	case serverUnreached:
 		c.recordUnreached(now)
 	}
@@ -253,12 +255,21 @@
 			c.recordBrokenEntry(now, r, err)
 			continue
 		}
-		s.Draining = s.Draining || c.gateway.tracker.isLeaving(s)
-		if c.servers.isReturning(s) {
-			c.clearDeadInDomain(s.FailureDomain)
+		if before, ok := c.servers.replacedMember(s); ok && c.isLeading(now) {
+			c.verifyRun(before, s, r)
+			continue
 		}
-		c.dirty = c.servers.put(now, r.Offset, s, c.coldDuration(s)) || c.dirty
+		c.applyServer(now, r.Offset, s)
+	}
+}
+
+// applyServer applies the entry of a server.
+func (c *controller) applyServer(now time.Duration, offset int64, s site.Server) {
+	s.Draining = s.Draining || c.gateway.tracker.isLeaving(s)
+	if c.servers.isReturning(s) {
+		c.clearDeadInDomain(s.FailureDomain)
 	}
+	c.dirty = c.servers.put(now, offset, s, c.coldDuration(s)) || c.dirty
 }
 
 // applyServerRemoval applies the removal of a server's entry. A replica member that is cut off from
--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -218,3 +218,32 @@
 		c.requireServing(t, time.Hour)
 	})
 }
+
+// TestRestartOfAMember guards against a leader that takes a restart for an entry of another writer, or the
+// other way round (P64).
+func TestRestartOfAMember(t *testing.T) {
+	restarted := site.Server{ID: "s1", Service: "models", Address: "10.0.0.9:1", Born: 6}
+	earlier, first := restarted, restarted
+	earlier.Born, first.ID = 4, "new"
+	for _, tc := range []struct {
+		name   string
+		server site.Server
+		want   bool
+	}{{"restart", restarted, true}, {"earlier_run", earlier, false}, {"new_server", first, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, _ := newServingController(t)
+			before, ok := c.servers.replacedMember(tc.server)
+			require.Equal(t, tc.want, ok)
+			if !ok {
+				return
+			}
+			m := runVerified{record: relay.Record{Key: "s1", Offset: 10}, server: tc.server, before: before, stillRuns: true}
+			c.applyRunVerified(time.Second, m)
+			c.requireServing(t, time.Second, "s0", "s1")
+			m.stillRuns, m.record.Offset = false, 11
+			c.applyRunVerified(time.Second, m)
+			c.requireServing(t, time.Second)
+			require.Equal(t, tc.server.Address, c.servers.entries["s1"].server.Address)
+		})
+	}
+}
