--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -247,3 +247,17 @@
 		})
 	}
 }
+
+// TestTwoServersAtOneAddress guards against detours that are refused since an entry of another writer, or of
+// a server that has ended, has the address of a server (P64).
+func TestTwoServersAtOneAddress(t *testing.T) {
+	at := func(id, state, born string) relay.Record {
+		return relay.Record{Key: id, Value: []byte(`{"service":"models","address":"10.0.0.1:1","state":"` + state + `"` + born + `}`)}
+	}
+	for _, odd := range []relay.Record{at("a", "draining", ""), at("z", "draining", ""), at("z", "ready", `,"born":4`)} {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, odd)
+		c.requireServing(t, time.Second, "s0", "s1")
+		require.Equal(t, "s1", c.gateway.view.Load().Servers["10.0.0.1:1"].ID)
+	}
+}
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -23,7 +23,10 @@
 		listed := c.consistentServers()
 		v.Servers = make(map[string]site.Server, len(listed))
 		for _, s := range listed {
-			v.Servers[s.server.Address] = s.server
+			// Of two servers at one address, the earlier run has ended, or its entry is one of another writer.
+			if other, ok := v.Servers[s.server.Address]; !ok || s.server.Born > other.Born {
+				v.Servers[s.server.Address] = s.server
+			}
 			c.addPlainServer(v, s)
 		}
 		c.addReplicas(now, v, listed)
