--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -13,23 +13,29 @@
 // consistentServers returns the listed servers without those whose place in a replica belongs to another
 // server or to none: their entries come from another writer.
 func (c *controller) consistentServers() []serverEntry {
-	listed := c.servers.all()
+	if c.servers.claimsChanged {
+		c.servers.claimsChanged = false
+		c.refuseContradictions()
+	}
+	return slices.DeleteFunc(c.servers.all(), func(e serverEntry) bool { return e.refused })
+}
+
+// refuseContradictions marks the entries whose place in a replica belongs to another server or to none.
+func (c *controller) refuseContradictions() {
 	groups := make(map[string][]serverEntry)
-	for _, e := range listed {
+	for _, e := range c.servers.entries {
 		if m := e.server.Member; m.State != site.Unassigned && !e.refused {
 			groups[m.Group] = append(groups[m.Group], e)
 		}
 	}
-	refused := make(map[string]bool)
 	for group, members := range groups {
 		for id, err := range contradictions(members, c.sizeOf(group)) {
 			e := c.servers.entries[id]
-			e.refused, refused[id] = true, true
+			e.refused = true
 			c.servers.entries[id] = e
 			c.logBrokenEntry(relay.Record{Key: id, Offset: e.offset}, err)
 		}
 	}
-	return slices.DeleteFunc(listed, func(e serverEntry) bool { return e.refused || refused[e.server.ID] })
 }
 
 // sizeOf returns how many members a replica has, zero if that is not known.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -223,6 +223,7 @@
 		return
 	}
 	c.configuration, c.configurationOffset, c.dirty = next, r.Offset, true
+	c.servers.reconsiderClaims()
 	c.gateway.logger.Info().Str("event", "configuration").Int64("version", next.Version).Int64("offset", r.Offset).
 		Int("routes", next.Routes()).Msg("configuration applied")
 }
--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -144,6 +144,13 @@
 			})
 		}
 	}
+	t.Run("size_of_a_later_configuration", func(t *testing.T) {
+		c, _ := newServingController(t)
+		c.receiveServers(time.Second, 10, memberEntry("s2", 2, "ready"))
+		c.requireServing(t, time.Second, "s0", "s1")
+		c.applyConfiguration(relay.Record{Offset: 1, Value: []byte(`{"version":2,"services":[{"name":"models","engine":{"models":[{"name":"small","size":3}]}}]}`)})
+		c.requireServing(t, time.Second, "s0", "s1", "s2")
+	})
 	t.Run("place_of_a_removed_member", func(t *testing.T) {
 		c, _ := newServingController(t)
 		c.receiveServers(time.Second, 10, claim("z", `"epoch":1000001,"rank":1,"state":"ready"`))
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -76,6 +76,8 @@
 	entries        map[string]serverEntry
 	removedOffsets map[string]int64
 	graceUntil     time.Duration
+	// claimsChanged means that a server was seen in another place in a replica than before.
+	claimsChanged bool
 }
 
 // startGrace keeps entries whose removals arrive from now on until their servers have had time to
@@ -116,7 +118,7 @@
 	if s.Member.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(s.Member.Group)
 	}
-	e.keepClaim(now, old)
+	r.keepClaim(now, &e, old)
 	if s.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+s.ColdFor)
 	}
@@ -134,7 +136,7 @@
 	}
 	old := e
 	e.server.Member, e.reportedAt = m, now
-	e.keepClaim(now, old)
+	r.keepClaim(now, &e, old)
 	if m.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(m.Group)
 	}
@@ -142,13 +144,23 @@
 	return true
 }
 
-// keepClaim keeps what is known of the place of a server in its replica, unless its entry before, old, was
-// of another place or incarnation.
-func (e *serverEntry) keepClaim(now time.Duration, old serverEntry) {
-	e.claimedAt, e.refused = now, false
+// keepClaim keeps in e what is known of the place of its server in a replica, unless its entry before, old,
+// was of another place or incarnation.
+func (r *roster) keepClaim(now time.Duration, e *serverEntry, old serverEntry) {
 	if a, b := e.server.Member, old.server.Member; e.server.Born == old.server.Born && a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank {
 		e.claimedAt, e.refused = old.claimedAt, old.refused
+		return
+	}
+	e.claimedAt, e.refused, r.claimsChanged = now, false, true
+}
+
+// reconsiderClaims forgets which entries were refused, since the sizes of replicas may have changed.
+func (r *roster) reconsiderClaims() {
+	for id, e := range r.entries {
+		e.refused = false
+		r.entries[id] = e
 	}
+	r.claimsChanged = true
 }
 
 // supersedes returns whether membership a is later than b, as far as that can be determined.
@@ -258,7 +270,7 @@
 	for id, e := range r.entries {
 		switch {
 		case e.older != nil && now-e.older.seenAt >= olderEntryWait:
-			r.entries[id] = e.replaced(now)
+			r.entries[id] = r.replaced(now, e)
 			changed = true
 		case e.expiresAt != 0 && now >= e.expiresAt:
 			delete(r.entries, id)
@@ -268,13 +280,13 @@
 	return changed
 }
 
-// replaced returns the entry of the server as its older entry describes it.
-func (e serverEntry) replaced(now time.Duration) serverEntry {
+// replaced returns the entry e of a server as its older entry describes it.
+func (r *roster) replaced(now time.Duration, e serverEntry) serverEntry {
 	out := serverEntry{server: e.older.server, offset: e.older.offset, coldUntil: e.coldUntil, lastModel: e.lastModel}
 	if m := out.server.Member; m.State != site.Unassigned {
 		out.lastModel = formation.ModelOf(m.Group)
 	}
-	out.keepClaim(now, e)
+	r.keepClaim(now, &out, e)
 	return out
 }
 
