--- a/gateway/control.go
+++ b/gateway/control.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -105,6 +104,8 @@
 		c.applyOrderResult(now, m)
 	case probeResult:
 		c.applyProbe(now, m)
+	case runVerified:
+		c.applyRunVerified(now, m)
 	case serverUnreached:
 		c.recordUnreached(now)
 	}
@@ -230,6 +231,7 @@
 	c.putInForce(next)
 	c.configurationOffset = r.Offset
 	c.gateway.configurationAt.Store(int64(clock.Boot()))
+	c.servers.reconsiderClaims()
 	c.gateway.logger.Info().Str("event", "configuration").Int64("version", next.Version).Int64("offset", r.Offset).
 		Int("routes", next.Routes()).Msg("configuration applied")
 }
@@ -258,17 +260,31 @@
 			c.recordBrokenEntry(now, r, err)
 			continue
 		}
-		s.Draining = s.Draining || c.gateway.tracker.isLeaving(s)
-		if c.servers.isReturning(s) {
-			c.clearDeadInDomain(s.FailureDomain)
+		if err = c.servers.contradicts(s); err != nil {
+			c.recordBrokenEntry(now, r, err)
+			continue
 		}
-		c.dirty = c.servers.put(now, r.Offset, s, c.coldDuration(s)) || c.dirty
+		if before, ok := c.servers.replacedMember(s); ok && c.isLeading(now) {
+			c.verifyRun(before, s, r)
+			continue
+		}
+		c.applyServer(now, r.Offset, s)
 	}
 }
 
+// applyServer applies the entry of a server.
+func (c *controller) applyServer(now time.Duration, offset int64, s site.Server) {
+	s.Draining = s.Draining || c.gateway.tracker.isLeaving(s)
+	if c.servers.isReturning(s) {
+		c.clearDeadInDomain(s.FailureDomain)
+	}
+	c.dirty = c.servers.put(now, offset, s, c.coldDuration(s)) || c.dirty
+}
+
 // applyServerRemoval applies the removal of a server's entry. A replica member that is cut off from
 // the store stays in its replica for a while, unless it is known to be dead.
 func (c *controller) applyServerRemoval(now time.Duration, r relay.Record) {
+	delete(c.brokenEntries, r.Key)
 	if !c.servers.remove(now, r, c.gateway.bounds().ServerHeartbeat) {
 		return
 	}
@@ -285,15 +301,36 @@
 		Int64("offset", r.Offset).Msg("entry of a replica member lapsed without draining; server seems cut off from the store")
 }
 
-// recordBrokenEntry records an entry by another writer that cannot be decoded, and removes the
-// server listed under its key.
+// maxLoggedErrorBytes bounds the text of an error that contains what another program wrote.
+const maxLoggedErrorBytes = 512
+
+// recordBrokenEntry records an entry by another writer that cannot be decoded. The server that is listed
+// under its key keeps serving: it may be a member of a replica, and soon writes its own entry again.
 func (c *controller) recordBrokenEntry(now time.Duration, r relay.Record, err error) {
+	c.logBrokenEntry(r, err)
+	c.servers.overwrite(now, r)
+}
+
+// logBrokenEntry logs an entry that names no server to use, once for each key.
+func (c *controller) logBrokenEntry(r relay.Record, err error) {
 	if _, known := c.brokenEntries[r.Key]; !known {
 		c.gateway.metrics.events.Add("broken_entries", 1)
-		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).Err(err).Msg("server entry cannot be decoded; ignored")
+		text := err.Error()
+		c.gateway.logger.Warn().Str("event", "broken_entry").Str("server", r.Key).Int64("offset", r.Offset).
+			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("server entry is not one of a server; ignored")
 	}
 	c.brokenEntries[r.Key] = r.Offset
-	c.dirty = c.servers.remove(now, r, 0) || c.dirty
+}
+
+// logBrokenHeartbeat logs a heartbeat that no daemon can have written, once for each key.
+func (c *controller) logBrokenHeartbeat(r relay.Record, err error) {
+	key := platform.TopicDaemons + "/" + r.Key
+	if _, known := c.brokenEntries[key]; !known {
+		text := err.Error()
+		c.gateway.logger.Warn().Str("event", "broken_heartbeat").Str("peer", r.Key).Int64("offset", r.Offset).
+			Str("error", text[:min(len(text), maxLoggedErrorBytes)]).Msg("heartbeat is not one of a daemon; ignored")
+	}
+	c.brokenEntries[key] = r.Offset
 }
 
 // coldDuration returns how long a server of s's service is cold after its start: not at all before
@@ -319,8 +356,15 @@
 		}
 	}
 	for _, r := range m.update.Records {
-		var h heartbeat
-		if err := cbor.Unmarshal(r.Value, &h); err != nil || h.Front != r.Key {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var (
+			h   heartbeat
+			err error
+		)
+		if h, err = decodeHeartbeat(r.Key, r.Value); err != nil {
+			c.logBrokenHeartbeat(r, err)
 			continue
 		}
 		if h.Incarnation != c.gateway.incarnation {
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -19,7 +19,7 @@
 // nothing yet.
 func newController() *controller {
 	g := New(site.Settings{Daemon: "self", Front: "self"}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
-	c := &controller{gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), loadedTopics: make(map[string]bool), failedTopics: make(map[string]bool)}
+	c := &controller{gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), loadedTopics: make(map[string]bool), failedTopics: make(map[string]bool), brokenEntries: make(map[string]int64)}
 	c.leadership.candidate.Timeouts = tenureTimeouts
 	return c
 }
@@ -120,7 +120,7 @@
 func TestDomainThatWasCutOff(t *testing.T) {
 	head := site.Server{ID: "head", Born: 1, FailureDomain: "cut", Member: site.Membership{Group: "m/1/1", Epoch: 1, State: site.Open}}
 	other := site.Server{ID: "other", Born: 1, FailureDomain: "sound"}
-	member := `{"service":"models","address":"a","zone":"cut","state":"ready","born":%d,"seq":9,"group":{"name":"m/1/1","epoch":1,"rank":1,"state":"ready"}}`
+	member := `{"service":"models","address":"a:1","zone":"cut","state":"ready","born":%d,"seq":9,"group":{"name":"m/1/1","epoch":1,"rank":1,"state":"ready"}}`
 	for _, tc := range []struct {
 		name string
 		key  string
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
@@ -22,7 +23,7 @@
 	leaderReadInterval  = 300 * time.Millisecond
 	// daemonsReadInterval is the time between reads of the daemons' heartbeats.
 	daemonsReadInterval = 600 * time.Millisecond
-	// readTimeout bounds a read in addition to its long poll. A slow store takes a few hundred
+	// readTimeout bounds a read in addition to its long poll, and each page of a listing. A slow store takes a few hundred
 	// milliseconds.
 	readTimeout = 900 * time.Millisecond
 	// retryInterval is the initial pause after a failed call to the store.
@@ -88,10 +89,7 @@
 			continue
 		}
 		expired, failures = false, 0
-		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent}
-		for _, r := range page.Records {
-			update.Records = append(update.Records, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
-		}
+		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent, Records: relayRecords(topic, page)}
 		g.peers.mu.Lock()
 		if topic == platform.TopicOperators {
 			g.peers.storeReadAt = clock.Boot()
@@ -103,6 +101,19 @@
 	return nil
 }
 
+// relayRecords returns the records of a page of topic. Of an entry that is too large for a server only the
+// beginning is kept, so that it fits into messages to other daemons, which refuse it as well.
+func relayRecords(topic string, page platform.Page) []relay.Record {
+	var out []relay.Record
+	for _, r := range page.Records {
+		if topic == platform.TopicServers && len(r.Value) > platform.MaxEntryBytes {
+			r.Value = slices.Clone(r.Value[:platform.MaxEntryBytes+1])
+		}
+		out = append(out, relay.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return out
+}
+
 const (
 	// maxHubBackoff and maxBackoff bound the pause after failed reads. Hubs read for all daemons,
 	// so theirs is shorter; every call to the store counts, even a failed one.
@@ -207,11 +218,11 @@
 // readTopic reads topic once: the newest record of each key if whole is set, otherwise the records
 // from next on.
 func (g *Gateway) readTopic(ctx context.Context, topic string, next int64, wait time.Duration, whole bool) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
-	defer cancel()
 	g.metrics.storeCalls.Add("read", 1)
 	if whole {
 		return g.store.Newest(ctx, topic)
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
 	return g.store.Read(ctx, topic, next, wait)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 		daemonsLoaded: make(chan struct{}),
 	}
 	g.currentBounds.Store(&s.Bounds)
-	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}}
+	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}, PageTimeout: readTimeout}
 	g.singleUseTransport = g.newServerTransport(g.dialServer, true)
 	g.pooledTransport = g.newServerTransport(g.dialServer, false)
 	orders := g.newServerTransport(g.dialForOrder, false)
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,12 @@
 	reportTTL = 1500 * time.Millisecond
 	// cutOffTTL bounds how long a replica member may be cut off from the store.
 	cutOffTTL = 10 * time.Second
+	// overwrittenTTL is how long a server stays listed after another writer has overwritten its entry:
+	// well beyond the three heartbeats after which an entry lapses.
+	overwrittenTTL = 10 * time.Second
+	// olderEntryWait is how long an entry that seems older than the one before must stay the last one of
+	// its key to count: longer than the three heartbeats after which the entry of a silent server lapses.
+	olderEntryWait = 5 * time.Second
 )
 
 // A serverEntry is one server of the list. coldUntil is on the boot clock.
@@ -34,21 +41,43 @@
 	coldUntil time.Duration
 	// lastModel is the model of the last replica that this incarnation was a member of.
 	lastModel string
-	// expiresAt is when an entry is dropped that lapsed during an outage of the store or whose
-	// server is cut off from the store; zero while the entry is listed.
+	// expiresAt is when an entry is dropped that lapsed during an outage of the store, whose server is
+	// cut off from the store, or that another writer has overwritten; zero while the entry is listed.
 	expiresAt time.Duration
 	// reportedAt is when the membership was last reported first-hand, ahead of the list.
 	reportedAt time.Duration
 	// cutOff means that the server is a replica member and seems to be cut off from the store: its
 	// entry lapsed although it was not leaving.
 	cutOff bool
+	// claimedAt is when the server was first seen in its place in its replica, and refused means that this
+	// place belongs to another server or to none.
+	claimedAt time.Duration
+	refused   bool
+	// older is a later entry that seems older than this one, nil if there is none.
+	older *olderEntry
+	// overwritten means that another writer has overwritten the entry since the server wrote it.
+	overwritten bool
 }
 
+// An olderEntry is an entry of an earlier start or with a lower sequence number than the one before. It was
+// delayed, or the one before came from another writer. In the first case the server soon writes again.
+type olderEntry struct {
+	server site.Server
+	offset int64
+	seenAt time.Duration
+}
+
+// isUsable returns whether the server may be a member of a replica: it is listed, cut off from the store,
+// or its entry is overwritten.
+func (e serverEntry) isUsable() bool { return e.expiresAt == 0 || e.cutOff || e.overwritten }
+
 // A roster is this daemon's copy of the list of servers. The zero roster is empty.
 type roster struct {
 	entries        map[string]serverEntry
 	removedOffsets map[string]int64
 	graceUntil     time.Duration
+	// claimsChanged means that a server was seen in another place in a replica than before.
+	claimsChanged bool
 }
 
 // startGrace keeps entries whose removals arrive from now on until their servers have had time to
@@ -67,7 +96,12 @@
 		return false
 	}
 	if known && (s.Born < old.server.Born || s.Born == old.server.Born && s.Sequence < old.server.Sequence) {
-		// An older entry that was delayed.
+		seenAt := now
+		if old.older != nil {
+			seenAt = old.older.seenAt
+		}
+		old.older = &olderEntry{server: s, offset: offset, seenAt: seenAt}
+		r.entries[s.ID] = old
 		return false
 	}
 	e := serverEntry{server: s, offset: offset, coldUntil: old.coldUntil}
@@ -84,6 +118,7 @@
 	if s.Member.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(s.Member.Group)
 	}
+	r.keepClaim(now, &e, old)
 	if s.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+s.ColdFor)
 	}
@@ -99,7 +134,9 @@
 		// The report was requested before the list showed a later state.
 		return false
 	}
+	old := e
 	e.server.Member, e.reportedAt = m, now
+	r.keepClaim(now, &e, old)
 	if m.State != site.Unassigned {
 		e.lastModel = formation.ModelOf(m.Group)
 	}
@@ -107,6 +144,25 @@
 	return true
 }
 
+// keepClaim keeps in e what is known of the place of its server in a replica, unless its entry before, old,
+// was of another place or incarnation.
+func (r *roster) keepClaim(now time.Duration, e *serverEntry, old serverEntry) {
+	if a, b := e.server.Member, old.server.Member; e.server.Born == old.server.Born && a.Group == b.Group && a.Epoch == b.Epoch && a.Rank == b.Rank {
+		e.claimedAt, e.refused = old.claimedAt, old.refused
+		return
+	}
+	e.claimedAt, e.refused, r.claimsChanged = now, false, true
+}
+
+// reconsiderClaims forgets which entries were refused, since the sizes of replicas may have changed.
+func (r *roster) reconsiderClaims() {
+	for id, e := range r.entries {
+		e.refused = false
+		r.entries[id] = e
+	}
+	r.claimsChanged = true
+}
+
 // supersedes returns whether membership a is later than b, as far as that can be determined.
 func supersedes(a, b site.Membership) bool {
 	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.State > b.State
@@ -128,7 +184,21 @@
 func (r *roster) isReturning(s site.Server) bool {
 	e, known := r.entries[s.ID]
 	_, removed := r.removedOffsets[s.ID]
-	return known && e.expiresAt != 0 || !known && removed
+	return known && e.expiresAt != 0 && !e.overwritten || !known && removed
+}
+
+// overwrite records that another writer has overwritten the entry of a server. The server stays listed as
+// it last described itself, until its next entry or for overwrittenTTL.
+func (r *roster) overwrite(now time.Duration, record relay.Record) {
+	e, ok := r.entries[record.Key]
+	if !ok || record.Offset <= e.offset {
+		return
+	}
+	if e.expiresAt == 0 {
+		e.expiresAt, e.overwritten = now+overwrittenTTL, true
+	}
+	e.offset = record.Offset
+	r.entries[record.Key] = e
 }
 
 // sameServer returns whether two entries are equal but for their sequence numbers.
@@ -149,12 +219,12 @@
 		return false
 	}
 	if now < r.graceUntil && !e.server.Draining {
-		e.expiresAt = r.graceUntil
+		e.expiresAt, e.overwritten = r.graceUntil, false
 		r.entries[record.Key] = e
 		return false
 	}
 	if e.lapsedWhileServing(record.Idle, heartbeat) {
-		e.expiresAt, e.cutOff, e.offset = now+cutOffTTL, true, record.Offset
+		e.expiresAt, e.cutOff, e.overwritten, e.offset = now+cutOffTTL, true, false, record.Offset
 		r.entries[record.Key] = e
 		return true
 	}
@@ -193,11 +263,42 @@
 	}
 }
 
-// expire drops the entries that were not renewed in time, and returns whether there were any.
+// expire drops the entries that were not renewed in time, puts older ones in force that nothing followed,
+// and returns whether there were any.
 func (r *roster) expire(now time.Duration) bool {
-	n := len(r.entries)
-	maps.DeleteFunc(r.entries, func(_ string, e serverEntry) bool { return e.expiresAt != 0 && now >= e.expiresAt })
-	return len(r.entries) != n
+	changed := false
+	for id, e := range r.entries {
+		switch {
+		case e.older != nil && now-e.older.seenAt >= olderEntryWait:
+			r.entries[id] = r.replaced(now, e)
+			changed = true
+		case e.expiresAt != 0 && now >= e.expiresAt:
+			delete(r.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// replaced returns the entry e of a server as its older entry describes it.
+func (r *roster) replaced(now time.Duration, e serverEntry) serverEntry {
+	out := serverEntry{server: e.older.server, offset: e.older.offset, coldUntil: e.coldUntil, lastModel: e.lastModel}
+	if m := out.server.Member; m.State != site.Unassigned {
+		out.lastModel = formation.ModelOf(m.Group)
+	}
+	r.keepClaim(now, &out, e)
+	return out
+}
+
+// contradicts returns an error if s cannot be the same run of a server as its listed entry: the address and
+// the service of one run do not change.
+func (r *roster) contradicts(s site.Server) error {
+	old, known := r.entries[s.ID]
+	if !known || s.Born == 0 || s.Born != old.server.Born || s.Address == old.server.Address && s.Service == old.server.Service {
+		return nil
+	}
+	return fmt.Errorf("entry of server %q: address %q and service %q are not those of the same run, %q and %q",
+		s.ID, s.Address, s.Service, old.server.Address, old.server.Service)
 }
 
 // all returns the entries in the order of their ids.
