test(gateway): configurations of tests are put in force as those of operators

The merge of entries of other writers and of services that are kept for accepted requests left tests that set the configuration without its services.

--- a/gateway/entries_test.go
+++ b/gateway/entries_test.go
@@ -24,7 +24,7 @@
 func newServingController(t *testing.T) (*controller, *bytes.Buffer) {
 	c, lines := newController(), new(bytes.Buffer)
 	c.gateway.logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: lines}}
-	c.configuration = smallReplica
+	c.putInForce(smallReplica)
 	c.leadership.dead, c.leadership.aliveAt = make(map[string]deadServer), make(map[string]time.Duration)
 	c.receiveServers(0, 1, memberEntry("s0", 0, "open"), memberEntry("s1", 1, "ready"))
 	c.requireServing(t, 0, "s0", "s1")
@@ -52,7 +52,7 @@
 	t.Helper()
 	c.servers.expire(now)
 	c.publish(now)
-	replicas := c.gateway.view.Load().Replicas["small"]
+	replicas := c.gateway.view.Load().Replicas[servedModel{service: "models", model: "small"}]
 	if len(members) == 0 {
 		require.Empty(t, replicas)
 		return
--- a/gateway/lead_test.go
+++ b/gateway/lead_test.go
@@ -91,7 +91,7 @@
 				client, _ := net.Pipe()
 				return client, nil
 			}
-			g.paths.paths.Unreachable(clock.Boot(), g.destination(absent))
+			g.paths.paths.Unreachable(clock.Boot(), g.view.Load().destination(absent))
 			result := g.deliverOrder(t.Context(), formation.Order{Server: "absent", Address: absent, Action: formation.Join}, 1)
 			require.Equal(t, formation.Unknown, result.answer)
 			require.Equal(t, !tc.linksWork, result.unreached)
