--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -35,6 +36,7 @@
 	failedTopics        map[string]bool
 	brokenEntries       map[string]int64
 	leadership          leadership
+	levels              level.Fleet
 	// operatorsReadAt is when the latest successful read of the operators' topic was sent, and
 	// peerSummary is the work of all other daemons.
 	operatorsReadAt time.Duration
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -196,3 +198,21 @@
 	c.expirePeers(bound)
 	require.NotContains(t, c.daemons, "it")
 }
+
+// TestLevelsOfTheFleet guards against a rollout that the log does not show (P68): the fleet's level falls with the
+// first daemon of an old build and rises with the last, and an unknown level is named once.
+func TestLevelsOfTheFleet(t *testing.T) {
+	var lines strings.Builder
+	c := newController()
+	c.gateway.logger.Level, c.gateway.logger.Writer = log.InfoLevel, log.IOWriter{Writer: &lines}
+	updated := heartbeat{Daemon: "a", Front: "a", Incarnation: "a2", Level: level.Own}
+	old, later := heartbeat{Daemon: "b", Front: "b", Incarnation: "b1"}, heartbeat{Daemon: "c", Front: "c", Incarnation: "c1", Level: level.Own + 1}
+	for n, heartbeats := range [][]heartbeat{{updated}, {old}, {later}, {old, later}, {{Daemon: "b", Front: "b", Incarnation: "b2", Level: level.Own}}} {
+		c.receiveHeartbeats(t, time.Duration(n)*time.Millisecond, false, heartbeats...)
+		c.publish(time.Duration(n) * time.Millisecond)
+	}
+	require.Equal(t, level.Own, c.gateway.view.Load().FleetLevel)
+	require.Equal(t, 1, strings.Count(lines.String(), `"event":"fleet_level","from":2,"to":0`))
+	require.Equal(t, 1, strings.Count(lines.String(), `"event":"fleet_level","from":0,"to":2`))
+	require.Equal(t, 1, strings.Count(lines.String(), `"event":"level_unknown","peer":"c","level":3`))
+}
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,7 +18,9 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
+	"github.com/hawthornrock/hawthornrock/coordination/rendezvous"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
@@ -60,6 +65,7 @@
 		{"refuses_links", parts(received, detourPart{Refusal: refusedLinks}), notRun, "", false},
 		{"refuses_unreachable", parts(received, detourPart{Refusal: refusedUnreachable}), notRun, "", false},
 		{"refuses_server", parts(received, detourPart{Refusal: refusedServer}), notRun, "", false},
+		{"refuses_for_a_reason_of_a_later_build", parts(received, detourPart{Refusal: 99}), notRun, "", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -74,7 +80,7 @@
 			g.linkGroup.Store(&group)
 			g.view.Store(&View{
 				Servers:            map[string]site.Server{address: {ID: "s", Address: address}},
-				Peers:              map[string]heartbeat{"h1": {Front: "h", Ready: true, Peer: strings.TrimPrefix(peer.URL, "http://"), Secret: "secret"}},
+				Peers:              map[string]heartbeat{"h1": {Front: "h", Ready: true, Level: level.Own, Peer: strings.TrimPrefix(peer.URL, "http://"), Secret: "secret"}},
 				IncarnationByFront: map[string]string{"h": "h1"},
 			})
 			g.DialServer = func(context.Context, string, string) (net.Conn, error) {
@@ -186,6 +192,48 @@
 	require.Equal(t, []detour.Helper{{Name: "near"}}, g.helperCandidates(nil))
 }
 
+// TestDaemonsWithoutDetours guards against a request that is asked of daemons of an old build, which have no
+// detours, until no other daemon is asked any more (P68). The new one is the last in the order of helpers.
+func TestDaemonsWithoutDetours(t *testing.T) {
+	const address = "127.0.0.1:1"
+	g := newController().gateway
+	var (
+		group      task.Group
+		askedOfOld atomic.Int64
+	)
+	g.linkGroup.Store(&group)
+	v := &View{
+		Servers: map[string]site.Server{address: {ID: "s", Address: address}}, Peers: make(map[string]heartbeat),
+		IncarnationByFront: make(map[string]string),
+	}
+	fronts := slices.SortedFunc(slices.Values([]string{"a", "b", "c", "d", "e", "f"}), func(a, b string) int {
+		return cmp.Compare(rendezvous.Weight(g.settings.Front, b), rendezvous.Weight(g.settings.Front, a))
+	})
+	for n, front := range fronts {
+		h := heartbeat{Front: front, Incarnation: front + "1", Ready: true, Secret: "secret"}
+		handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			askedOfOld.Add(1)
+			http.NotFound(w, r)
+		}))
+		if n == len(fronts)-1 {
+			h.Level = level.Own
+			handler = link.AcceptExchanges("secret", g.links, func(_ context.Context, _ detourRequest, send func(detourPart) error) {
+				_ = send(detourPart{Received: true})
+				_ = send(detourPart{End: true})
+			})
+		}
+		peer := httptest.NewServer(handler)
+		t.Cleanup(peer.Close)
+		h.Peer = strings.TrimPrefix(peer.URL, "http://")
+		v.Peers[h.Incarnation], v.IncarnationByFront[front] = h, h.Incarnation
+	}
+	g.view.Store(v)
+	answer, err := g.ask(t.Context(), detourRequest{Address: address, Server: "s"})
+	require.NoError(t, err)
+	require.Equal(t, fronts[len(fronts)-1], answer.helper)
+	require.Zero(t, askedOfOld.Load())
+}
+
 // TestUnacknowledgedBytes guards against connections to a peer that is gone which nothing closes: the
 // option is set, and keep-alive probes, whose end it would decide as well, are off (P59).
 func TestUnacknowledgedBytes(t *testing.T) {
--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
@@ -53,6 +54,29 @@
 	// PartFindings are parts of prompts that crash servers, as of FindingsAt.
 	PartFindings []quarantine.PartFinding `cbor:"14,keyasint,omitempty"`
 	Region       string                   `cbor:"15,keyasint,omitempty"`
+	// Level is the level of the daemon's build.
+	Level level.Level `cbor:"16,keyasint,omitempty"`
+}
+
+// level returns the level of the daemon that sent h.
+func (h heartbeat) level() level.Level { return level.Of(h.Level, h.Region != "") }
+
+// observeLevels records the levels of the daemons of v and logs what changed.
+func (c *controller) observeLevels(v *View) {
+	levels := make(map[string]level.Level, len(v.Peers))
+	for _, h := range v.Peers {
+		levels[h.Daemon] = h.level()
+	}
+	change := c.levels.Observe(levels)
+	v.FleetLevel = c.levels.Lowest()
+	if change.Moved {
+		c.gateway.logger.Info().Str("event", "fleet_level").Int("from", int(change.From)).Int("to", int(change.To)).Int("own", int(level.Own)).
+			Int("daemons", v.Daemons).Msg("lowest level of the live daemons changed")
+	}
+	for _, d := range change.Unknown {
+		c.gateway.logger.Warn().Str("event", "level_unknown").Str("peer", d.Name).Int("level", int(d.Level)).Int("oldest", int(level.Oldest)).
+			Int("own", int(level.Own)).Msg("daemon has a level that this build does not know")
+	}
 }
 
 // runHeartbeats sends a heartbeat at each interval, and at once on request.
@@ -104,7 +128,7 @@
 	g.tracker.dropIdleTargets(time.Now())
 	h := heartbeat{
 		Daemon: g.settings.Daemon, Incarnation: g.incarnation, Front: g.settings.Front, FailureDomain: g.settings.FailureDomain, Region: g.settings.Region,
-		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, HadTraffic: g.tracker.hadTraffic(), CPUShare: g.settings.Limits.CPUShare,
+		Ready: g.ready(), Leaving: g.leaving.Load(), Peer: g.settings.Peer, Secret: g.secret, HadTraffic: g.tracker.hadTraffic(), CPUShare: g.settings.Limits.CPUShare, Level: level.Own,
 	}
 	if h.Term = g.term.Load(); h.Term != 0 {
 		g.lastTerm.Store(h.Term)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 )
 
 // metrics holds the counters and histograms of one daemon.
@@ -87,6 +89,8 @@
 	if g.DroppedLines != nil {
 		vars.Set("dropped_lines", expvar.Func(func() any { return g.DroppedLines() }))
 	}
+	vars.Set("level", expvar.Func(func() any { return level.Own }))
+	vars.Set("fleet_level", expvar.Func(func() any { return g.view.Load().FleetLevel }))
 	vars.Set("in_flight", expvar.Func(func() any { return g.tracker.requestsInFlight() }))
 	return vars
 }
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
@@ -297,12 +298,12 @@
 // a while by what is known of the paths to it.
 func isUnreached(err error) bool { return errors.Is(err, errNoPath) || isDialError(err) }
 
-// helperCandidates returns the other daemons that may reach servers.
+// helperCandidates returns the other daemons that may reach servers and pass requests on.
 func (g *Gateway) helperCandidates(except []string) []detour.Helper {
 	var out []detour.Helper
 	for front, incarnation := range g.view.Load().IncarnationByFront {
 		h := g.view.Load().Peers[incarnation]
-		if (h.Ready || h.Leaving) && h.Peer != "" && h.Region == g.settings.Region && !slices.Contains(except, front) {
+		if (h.Ready || h.Leaving) && h.Peer != "" && h.Region == g.settings.Region && h.level() >= level.Detours && !slices.Contains(except, front) {
 			out = append(out, detour.Helper{Name: front, FailureDomain: h.FailureDomain, Leaving: h.Leaving})
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
@@ -87,6 +88,8 @@
 	Changes []replicaChange `cbor:"15,keyasint,omitempty"`
 	// AnsweredParts are suspect parts of prompts and when requests with them were last answered.
 	AnsweredParts []quarantine.PartAnswer `cbor:"16,keyasint,omitempty"`
+	// Level is the level of the sender's build.
+	Level level.Level `cbor:"17,keyasint,omitempty"`
 }
 
 // A peerSender is a link to another daemon and when it was last used.
@@ -340,7 +343,7 @@
 		ps.senders[incarnation] = s
 		group.Go(ctx, "peer "+peer, s.sender.Run)
 	}
-	s.lastUsed = clock.Boot()
+	s.lastUsed, m.Level = clock.Boot(), level.Own
 	s.sender.Send(m)
 }
 
@@ -383,6 +386,9 @@
 // handlePeerMessage handles a message of another daemon.
 func (g *Gateway) handlePeerMessage(m peerMessage) {
 	now := clock.Boot()
+	if !m.Level.Understood() {
+		g.metrics.events.Add("peers_of_unknown_level", 1)
+	}
 	g.crashes.applyPartAnswers(time.Now(), m.AnsweredParts)
 	g.applyPeerCrashes(m)
 	g.applyPeerLeaving(m)
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -19,6 +19,7 @@
 		Peers: make(map[string]heartbeat), IncarnationByFront: make(map[string]string), Daemons: 1, Ready: c.canServe(), PeersLoaded: c.loadedTopics[platform.TopicDaemons],
 	}
 	c.addDaemons(v)
+	c.observeLevels(v)
 	if c.configuration != nil {
 		listed := c.servers.all()
 		v.Servers = make(map[string]site.Server, len(listed))
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -53,6 +54,8 @@
 	Peers map[string]heartbeat
 	// IncarnationByFront holds the incarnations of the other daemons, by front address.
 	IncarnationByFront map[string]string
+	// FleetLevel is the lowest level of the known daemons.
+	FleetLevel level.Level
 	// PeersLoaded means that the heartbeats of the other daemons have been read.
 	PeersLoaded bool
 	// Ready means that this daemon can serve.
--- a/versioncmd.go
+++ b/versioncmd.go
@@ -7,6 +7,8 @@
 	"runtime/debug"
 
 	"github.com/google/subcommands"
+
+	"github.com/hawthornrock/hawthornrock/coordination/level"
 )
 
 // A versionCommand prints the version of the program.
@@ -30,6 +32,6 @@
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version + " " + info.GoVersion
 	}
-	fmt.Fprintln(c.out, "hawthornrock", version)
+	fmt.Fprintf(c.out, "hawthornrock %s, level %d, understands level %d and later\n", version, level.Own, level.Oldest)
 	return exitOK
 }
