--- a/gateway/race.go
+++ b/gateway/race.go
@@ -194,6 +194,7 @@
 		return false
 	}
 	for _, n := range s.race.Delivered(m.run.number) {
+		s.call.mayHaveRun(&s.runs[n].try)
 		s.runs[n].attempt.cancel(errOvertaken)
 	}
 	err := g.writeEvents(s, m.run.attempt, m.run.resp, m.events)
