--- a/gateway/endings.go
+++ b/gateway/endings.go
@@ -18,8 +18,8 @@
 const (
 	// endedByServer means that the last server failed, broke its answer off or declined.
 	endedByServer endedBy = "server"
-	// endedByDaemon means that this daemon gave the last attempt up, although its server may have
-	// gone on.
+	// endedByDaemon means that this daemon, or the one that passed the request on, gave the last attempt
+	// up, although its server may have gone on.
 	endedByDaemon endedBy = "daemon"
 	// endedByCaller means that the caller closed its connection.
 	endedByCaller endedBy = "caller"
@@ -34,7 +34,7 @@
 		return endedByCaller
 	case ctx.Err() != nil:
 		return endedByDeadline
-	case errors.Is(err, errStalled) || errors.Is(err, errPathLost) || errors.Is(err, errConvictedPart):
+	case errors.Is(err, errStalled) || errors.Is(err, errPathLost) || errors.Is(err, errConvictedPart) || errors.Is(err, errBufferFull) || isHelperLost(err):
 		return endedByDaemon
 	}
 	return endedByServer
--- a/gateway/endings_test.go
+++ b/gateway/endings_test.go
@@ -24,6 +24,9 @@
 		want  endedBy
 	}{
 		{"server", t.Context, errUnsigned, endedByServer},
+		{"answer_buffer_full", t.Context, errBufferFull, endedByDaemon},
+		{"helper_lost", t.Context, fmt.Errorf("%w: late", errDetourBroke), endedByDaemon},
+		{"answer_lost_at_helper", t.Context, errAnswerLost, endedByServer},
 		{"stalled", t.Context, errStalled, endedByDaemon},
 		{"path_lost", t.Context, fmt.Errorf("attempt: %w", errPathLost), endedByDaemon},
 		{"caller_left", left, errStalled, endedByCaller},
