--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -86,6 +86,9 @@
 			s.reconcileComplete(r)
 			continue
 		}
+		if s.servesFormerModel(r) {
+			continue
+		}
 		s.reconcileIncomplete(r)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.planner.forming)) {
