--- a/gateway/endings.go
+++ b/gateway/endings.go
@@ -30,11 +30,13 @@
 // endOf returns who ended a call whose context is ctx and whose last attempt failed with err.
 func endOf(ctx context.Context, err error) endedBy {
 	switch {
+	case errors.Is(context.Cause(ctx), errDrainEnded):
+		return endedByDaemon
 	case errors.Is(ctx.Err(), context.Canceled):
 		return endedByCaller
 	case ctx.Err() != nil:
 		return endedByDeadline
-	case errors.Is(err, errStalled) || errors.Is(err, errPathLost) || errors.Is(err, errConvictedPart) || errors.Is(err, errBufferFull) || isHelperLost(err):
+	case errors.Is(err, errConvictedPart) || errors.Is(err, errBufferFull) || isHelperLost(err):
 		return endedByDaemon
 	}
 	return endedByServer
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -127,6 +127,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(g.stopping, func() { stop(errDrainEnded) })()
 	ctx, span := g.tracer.Start(ctx, "call", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("attempt", c.request.Attempt), attribute.String("route", c.route.Name)))
 	defer span.End()
@@ -267,9 +270,14 @@
 	withAge(line, "configuration_age", clock.Boot(), time.Duration(g.confirmedAt.Load())).Msg("")
 }
 
-// timedOut returns the refusal of a call whose deadline has passed.
+// timedOut returns the refusal of a call whose deadline has passed, or that a planned stop has ended.
 func (c *call) timedOut() *refusal {
-	if c.ran > 0 {
+	switch {
+	case c.endedBy == endedByDaemon && c.ran > 0:
+		return &refusal{status: http.StatusBadGateway, reason: "drain_ended"}
+	case c.endedBy == endedByDaemon:
+		return unavailable("drain_ended")
+	case c.ran > 0:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "timeout"}
 	}
 	return unavailable("timeout_not_run")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,9 @@
 	// configurationAt is when, on the boot clock, the current configuration was applied.
 	configurationAt atomic.Int64
 	leaving         atomic.Bool
+	// stopping ends, by stopCalls, shortly before the connections of callers are closed.
+	stopping  context.Context //nolint:containedctx // It ends with the drain, which no caller of a method waits for.
+	stopCalls context.CancelCauseFunc
 	// acceptsUntil is the time, on the boot clock, until which a draining daemon accepts requests.
 	acceptsUntil atomic.Int64
 	// term is the term in which this daemon leads, zero if it does not; lastTerm is the last term
@@ -106,6 +109,7 @@
 		statusNow:     make(chan struct{}, 1),
 		daemonsLoaded: make(chan struct{}),
 	}
+	g.stopping, g.stopCalls = context.WithCancelCause(context.Background())
 	g.currentBounds.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}, PageTimeout: readTimeout}
 	g.singleUseTransport = g.newServerTransport(g.dialServer, true)
@@ -199,6 +203,8 @@
 	minDrainPeriod = 4 * time.Second
 	// drainMargin is the part of the platform's shutdown grace period that is kept in reserve.
 	drainMargin = 500 * time.Millisecond
+	// drainAnswerTime is the end of the drain, in which calls that still wait for a server are answered.
+	drainAnswerTime = 300 * time.Millisecond
 	// drainPollInterval is the time between checks of the requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -216,6 +222,10 @@
 		if since >= min(minDrainPeriod, end/2) && g.tracker.requestsInFlight() == 0 {
 			break
 		}
+		if since >= end-drainAnswerTime && g.stopping.Err() == nil {
+			g.logger.Warn().Str("event", "drain_ends").Int("in_flight", g.tracker.requestsInFlight()).Msg("drain ends; ending calls whose servers have not answered")
+			g.stopCalls(errDrainEnded)
+		}
 		time.Sleep(drainPollInterval)
 	}
 	left := g.tracker.requestsInFlight()
@@ -225,6 +235,9 @@
 	}
 }
 
+// errDrainEnded is the cancellation cause of calls that are under way at the end of a planned stop.
+var errDrainEnded = errors.New("planned stop ended")
+
 // acceptsRequests returns whether this daemon still accepts requests: always, unless it is draining
 // and its accept period has ended.
 func (g *Gateway) acceptsRequests() bool {
