--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -340,6 +340,11 @@
 	for _, e := range c.leadership.planner.StoppedReplicas() {
 		c.broadcastChange(replicaChange{Group: e.Replica, Epoch: e.Epoch})
 	}
+	for id := range c.leadership.silent {
+		if e, listed := c.servers.entries[id]; listed {
+			c.reprobe(now, e.server)
+		}
+	}
 	for _, head := range c.leadership.planner.HeadsToProbe() {
 		c.reprobe(now, head)
 	}
@@ -550,6 +555,7 @@
 func (c *controller) applyPeerProbe(now time.Duration, m peerProbeResult) {
 	for _, id := range m.servers {
 		c.leadership.aliveAt[id] = now
+		delete(c.leadership.silent, id)
 		if _, known := c.leadership.dead[id]; known {
 			delete(c.leadership.dead, id)
 			c.dirty = true
@@ -591,7 +597,7 @@
 // in a moment.
 func (c *controller) isBrieflySilent(now time.Duration, m probeResult) bool {
 	s, known := c.leadership.silent[m.server.ID]
-	if !known || m.sentAt-s.lastAt > 2*probeInterval {
+	if !known || m.sentAt-s.lastAt > probeInterval*3/2 {
 		s.since = m.sentAt
 		c.gateway.metrics.events.Add("servers_silent", 1)
 		c.gateway.logger.Info().Str("event", "server_silent").Str("server", m.server.ID).Str("group", m.server.Member.Group).
