--- a/gateway/board.go
+++ b/gateway/board.go
@@ -59,8 +59,9 @@
 	sentAt      time.Time
 	lastEventAt time.Time
 	started     bool
-	// isSilent means that it was found to be silent for too long since its last event.
-	isSilent bool
+	// isSilent means that it was found to be silent for too long since its last event. writing means that the
+	// caller is being sent the last events, so that more may have arrived.
+	isSilent, writing bool
 	// startedAt is when the first event arrived. acquitted means that it was recorded that the
 	// parts do not crash servers.
 	startedAt time.Time
@@ -195,6 +196,25 @@
 	return pause
 }
 
+// recordWriting records that events of the answer to a arrived at now and are written to the caller next. It
+// returns the pause before them.
+func (b *attemptTracker) recordWriting(a *attempt, now time.Time) time.Duration {
+	pause := b.recordEvent(a, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.writing = true
+	return pause
+}
+
+// recordWritten records that the events of a that arrived last were written to the caller by now.
+func (b *attemptTracker) recordWritten(a *attempt, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.lastEventAt, a.writing = now, false
+	s := b.target(a.target)
+	s.lastEventAt = now
+}
+
 // markSuspect keeps new work from the target of a for suspectDuration after a connection to it
 // broke.
 func (b *attemptTracker) markSuspect(a *attempt, now time.Time) {
@@ -439,6 +459,9 @@
 // caller waits. It returns whether there is one that was not silent before.
 func (s *targetState) reportSilent(now time.Time, limit time.Duration, all, lost bool) (newlySilent bool) {
 	for a := range s.attempts {
+		if a.writing {
+			continue
+		}
 		why := error(nil)
 		switch pause := now.Sub(a.lastEventAt); {
 		case lost && !a.around.Load() && pause > limit:
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -29,7 +29,7 @@
 	manyLostPaths = 3
 )
 
-// errPathLost is the cancellation cause of an attempt whose server this daemon no longer reaches.
+// errPathLost means that this daemon no longer reaches the server of a silent attempt.
 var errPathLost = errors.New("path to the server lost")
 
 // pathState is what a daemon knows of its paths to servers and of the daemons that reach them. The
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -213,7 +213,7 @@
 // backoff is the time until the first backing-off server accepts requests again.
 func (g *Gateway) endPlain(ctx context.Context, w http.ResponseWriter, c *call, last *plainAnswer, backoff time.Duration) {
 	switch {
-	case last != nil && ctx.Err() == nil:
+	case last != nil && c.endedBy != endedByCaller:
 		g.writeAnswer(w, c, last)
 	case ctx.Err() != nil:
 		g.refuse(w, c, c.timedOut())
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -198,6 +199,7 @@
 		s.runs[n].attempt.cancel(errOvertaken)
 	}
 	err := g.writeEvents(s, m.run.attempt, m.run.resp, m.events)
+	g.tracker.recordWritten(m.run.attempt, time.Now())
 	if err == nil {
 		s.lastEventID, s.endedWithoutEvents = m.lastID, false
 		m.run.written <- nil
@@ -259,11 +261,14 @@
 func (g *Gateway) retry(ctx context.Context, s *stream, ran bool, why string) *refusal {
 	c := s.call
 	if !g.mayRepeat(c, ran) {
-		if refused := g.refuseParts(c); refused != nil {
-			return refused
-		}
-		return c.backendFailure()
+		return cmp.Or(g.refuseParts(c), c.backendFailure())
 	}
+	return g.tryAnother(ctx, s, why)
+}
+
+// tryAnother starts another attempt for the reason why. The refusal says why there is none.
+func (g *Gateway) tryAnother(ctx context.Context, s *stream, why string) *refusal {
+	c := s.call
 	if refused := g.startAttempt(ctx, s); refused != nil {
 		return refused
 	}
@@ -351,14 +356,16 @@
 	}
 	run.nextRetryAt = now.Add(silentRetryInterval)
 	s.call.mayHaveRun(&run.try)
-	// Without another attempt, the silent one goes on alone.
-	g.retry(ctx, s, true, fmt.Sprintf("%s: %v", run.replica.Name, m.why))
+	if g.mayRepeat(s.call, true) {
+		// Without another attempt, the silent one goes on alone.
+		g.tryAnother(ctx, s, fmt.Sprintf("%s: %v", run.replica.Name, m.why))
+	}
 }
 
 // hasEnded returns whether the run of a request at head, in the replica with the given epoch, has provably
-// ended: another incarnation has the address, or the server has joined another replica since. A server
-// that is no longer listed may still serve.
+// ended: the server is listed with another incarnation, or has joined another replica since. One that is no
+// longer listed may still serve, and one at whose address another is listed, too.
 func (v *View) hasEnded(head site.Server, epoch int64) bool {
 	listed, ok := v.Servers[head.Address]
-	return ok && (listed.ID != head.ID || listed.Born != head.Born || listed.Member.Epoch > epoch)
+	return ok && listed.ID == head.ID && (listed.Born != head.Born || listed.Member.Epoch > epoch)
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -30,6 +32,7 @@
 		{"silent_for_too_long", []probe{{0, 600 * ms, probeSilent}, {s, 1600 * ms, probeSilent}}, true},
 		{"silent_then_unreached", []probe{{0, 600 * ms, probeSilent}, {s, 1300 * ms, probeUnreached}}, true},
 		{"answered_between", []probe{{0, 600 * ms, probeSilent}, {s, s, probeAlive}, {2 * s, 2600 * ms, probeSilent}}, false},
+		{"silent_twice_for_a_moment", []probe{{0, 600 * ms, probeSilent}, {2400 * ms, 3 * s, probeSilent}}, false},
 		{"silent_long_ago", []probe{{0, 600 * ms, probeSilent}, {5 * s, 5600 * ms, probeSilent}}, false},
 		{"dead_and_silent", []probe{{0, 600 * ms, probeUnreached}, {s, 1600 * ms, probeSilent}}, true},
 	} {
@@ -88,3 +91,48 @@
 	require.Empty(t, b.suspectTargets())
 	require.Zero(t, b.targets["r"].load())
 }
+
+// A slowWriter is a connection to a caller that reads nothing until it is released.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	writing, release chan struct{}
+}
+
+// Write implements io.Writer.
+func (w *slowWriter) Write(p []byte) (int, error) {
+	close(w.writing)
+	<-w.release
+	return len(p), nil
+}
+
+// TestSlowCallerIsNoSilentServer guards against a replica that counts as stalled, and a request that is sent once
+// more, because the caller reads its answer slowly.
+func TestSlowCallerIsNoSilentServer(t *testing.T) {
+	g := newController().gateway
+	s, a, b := newRunningStream(g)
+	g.tracker.remove(b.attempt)
+	w := &slowWriter{ResponseRecorder: httptest.NewRecorder(), writing: make(chan struct{}), release: make(chan struct{})}
+	s.w, s.rc = w, http.NewResponseController(w)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.handleMessage(context.Background(), s, runMessage{run: a, events: []byte("id: 1\ndata: x\n\n"), lastID: "1"})
+	}()
+	<-w.writing
+	stalled, _ := g.tracker.checkStalls(time.Now().Add(2*time.Second), func(string) bool { return false })
+	close(w.release)
+	<-done
+	require.Empty(t, stalled)
+}
+
+// TestOddEntryEndsNoRun guards against silent attempts that are cancelled because another writer listed an entry
+// with the address of their server, which is still listed itself (LOST).
+func TestOddEntryEndsNoRun(t *testing.T) {
+	c := newController()
+	c.configuration = &site.Configuration{}
+	head := site.Server{ID: "head", Address: "127.0.0.1:1", Born: 1, Member: site.Membership{Epoch: 3}}
+	c.servers.put(0, 1, head, 0)
+	c.servers.put(0, 2, site.Server{ID: "odd", Address: "127.0.0.1:1", Born: 2}, 0)
+	c.publish(0)
+	require.False(t, c.gateway.view.Load().hasEnded(head, 3))
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/invariant"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
@@ -64,6 +65,10 @@
 		case <-ctx.Done():
 			g.awaitRuns(s)
 			c.endedBy = endOf(ctx, nil)
+			if s.failure != nil && !s.headersSent && c.endedBy != endedByCaller {
+				g.writeAnswer(w, c, s.failure.answer)
+				return
+			}
 			g.endStream(ctx, s, nil)
 			return
 		}
@@ -109,27 +114,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var (
-		replicas   []Replica
-		candidates []dispatch.Candidate
-		paces      []dispatch.Pace
-		now        = time.Now()
-		backoff    time.Duration
+		now     = time.Now()
+		backoff time.Duration
 	)
-	for _, r := range view.Replicas[servedModel{service: c.service.Name, model: model.Name}] {
-		state := b.target(r.Name)
-		route := g.peekRoute(view.destination(r.Head.Address))
-		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, &backoff) || now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
-			continue
-		}
-		other := b.workAtPeers(r.Epoch, now)
-		replicas, paces = append(replicas, r), append(paces, state.pace)
-		candidates = append(candidates, dispatch.Candidate{
-			Load: state.load().Add(other.Load), Remote: r.Head.FailureDomain != g.settings.FailureDomain || route == detour.Around,
-			SinceEvent: timeSinceEvent(state, other, now),
-		})
-	}
-	for i, slowdown := range dispatch.Slowdowns(paces, now) {
-		candidates[i].Slowdown = slowdown
+	replicas, candidates := g.replicaCandidates(view, s, model, now, false, &backoff)
+	if len(replicas) == 0 && c.sent > 0 && s.race.Open() == 0 {
+		// Nothing is left to lose: a suspect may be sound again.
+		replicas, candidates = g.replicaCandidates(view, s, model, now, true, &backoff)
 	}
 	i, expected := dispatch.Choose(c.service.Engine, model, candidates, c.request.Size, dispatch.LocalityThreshold(c.route.Target), rand.IntN)
 	if c.sent == 0 {
@@ -150,6 +141,34 @@
 	return replicas[i], nil
 }
 
+// replicaCandidates returns the replicas of view that may be sent a request to model, without suspects
+// unless they are wanted. The caller holds the lock of the tracker.
+func (g *Gateway) replicaCandidates(view *View, s *stream, model site.Model, now time.Time, suspects bool, backoff *time.Duration) ([]Replica, []dispatch.Candidate) {
+	var (
+		b          = &g.tracker
+		replicas   []Replica
+		candidates []dispatch.Candidate
+		paces      []dispatch.Pace
+	)
+	for _, r := range view.Replicas[servedModel{service: s.call.service.Name, model: model.Name}] {
+		state := b.target(r.Name)
+		route := g.peekRoute(view.destination(r.Head.Address))
+		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, backoff) || !suspects && now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
+			continue
+		}
+		other := b.workAtPeers(r.Epoch, now)
+		replicas, paces = append(replicas, r), append(paces, state.pace)
+		candidates = append(candidates, dispatch.Candidate{
+			Load: state.load().Add(other.Load), Remote: r.Head.FailureDomain != g.settings.FailureDomain || route == detour.Around,
+			SinceEvent: timeSinceEvent(state, other, now),
+		})
+	}
+	for i, slowdown := range dispatch.Slowdowns(paces, now) {
+		candidates[i].Slowdown = slowdown
+	}
+	return replicas, candidates
+}
+
 const (
 	// minStallReports is the number of other daemons that must report a replica as stalled before a
 	// daemon without requests there treats it as stalled: a single reporter may itself be cut off.
@@ -312,7 +331,7 @@
 func (g *Gateway) writeEvents(s *stream, a *attempt, resp *http.Response, events []byte) error {
 	first := !a.started
 	now := time.Now()
-	pause := g.tracker.recordEvent(a, now)
+	pause := g.tracker.recordWriting(a, now)
 	if first {
 		g.metrics.firstEvent.observe(pause)
 	} else {
