--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -40,10 +40,10 @@
 	members     map[string][]string
 	frozen      map[string]bool
 	unreachable map[string]bool
-	// absent are listed servers at whose address there is nothing.
-	absent     map[string]bool
-	orders     []formation.Order
-	orderTimes []time.Duration
+	// absent are listed servers at whose address there is nothing, declining those that decline to join.
+	absent, declining map[string]bool
+	orders            []formation.Order
+	orderTimes        []time.Duration
 	// unanswered selects the orders that get no answer and are carried out orderDelay late.
 	unanswered func(formation.Order) bool
 	// timed makes servers take the times of the engine to join; otherwise all of them take 0.2 s.
@@ -235,6 +235,9 @@
 // carryOut makes a server carry out an order, and checks the invariants that apply to it.
 func (sim *simulation) carryOut(o formation.Order) formation.Answer {
 	s, ok := sim.actual[o.Server]
+	if sim.declining[o.Server] {
+		return formation.Declined
+	}
 	if sim.absent[o.Server] {
 		return formation.Absent
 	}
--- a/coordination/formation/failure.go
+++ b/coordination/formation/failure.go
@@ -17,8 +17,8 @@
 	maxFailureDoublings = 6
 )
 
-// A failure is that a server was absent, or ordered to join a replica or to load weights without any
-// effect, count times in a row.
+// A failure is that a server was absent, declined to join a replica, or was ordered to join or to load
+// weights without any effect, count times in a row.
 type failure struct {
 	// born identifies the incarnation, once the server was seen after the failure.
 	born  int64
@@ -34,6 +34,17 @@
 	p.failures[id] = f
 }
 
+// recordDecline records that the server with the given id declined to join a replica. It may only be busy, so
+// that the first time has no pause.
+func (p *Planner) recordDecline(now time.Duration, id string) {
+	if f, failed := p.failures[id]; !failed {
+		f.count = 1
+		p.failures[id] = f
+		return
+	}
+	p.recordFailure(now, id)
+}
+
 // failedLately returns whether server failed to carry out an order and is left alone for that.
 func (s *step) failedLately(server site.Server) bool {
 	return s.now < s.planner.failures[server.ID].until
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -137,8 +137,11 @@
 			h.confirm(o.Server)
 		}
 	}
-	if a == Absent {
+	switch {
+	case a == Absent:
 		p.recordFailure(now, o.Server)
+	case a == Declined && o.Action == Join:
+		p.recordDecline(now, o.Server)
 	}
 	if f, ok := p.forming[o.Group]; ok && o.Action == Join && (a == Declined || a == Absent || a == Fenced) {
 		f.failed = true
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -441,25 +441,28 @@
 // that never joins, such as one that another writer listed, while the others of its domain wait for it.
 func TestServersThatAreNotThere(t *testing.T) {
 	for _, tc := range []struct {
-		name            string
-		absent, traffic bool
-		odd             int
+		name                       string
+		absent, declining, traffic bool
+		odd                        int
 	}{
-		{"nothing_at_its_address", true, false, 1},
-		{"no_answer", false, false, 1},
-		{"nothing_at_its_address_under_load", true, true, 1},
-		{"no_answer_under_load", false, true, 1},
-		{"several", true, false, 5},
-		{"several_without_an_answer", false, true, 3},
+		{"nothing_at_its_address", true, false, false, 1},
+		{"no_answer", false, false, false, 1},
+		{"nothing_at_its_address_under_load", true, false, true, 1},
+		{"no_answer_under_load", false, false, true, 1},
+		{"several", true, false, false, 5},
+		{"several_without_an_answer", false, false, true, 3},
+		{"no_engine_at_its_address", false, true, false, 1},
+		{"no_engine_at_its_address_under_load", false, true, true, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			simulate := func(odd int) *simulation {
 				sim := newSimulation(t, 1, 8)
 				sim.fleet.TrafficStarted, sim.absent = tc.traffic, make(map[string]bool)
+				sim.declining = make(map[string]bool)
 				for n := range odd {
 					id := fmt.Sprintf("a%d", n)
 					sim.fleet.Servers[id] = site.Server{ID: id, Address: id, FailureDomain: "zone", FabricDomain: "d0", Born: 1, Staged: []string{"large", "small"}}
-					sim.absent[id] = tc.absent
+					sim.absent[id], sim.declining[id] = tc.absent, tc.declining
 				}
 				for id, s := range sim.actual {
 					s.Staged = []string{"large", "small"}
