--- a/gateway/serverconn_test.go
+++ b/gateway/serverconn_test.go
@@ -10,6 +10,34 @@
 	"github.com/stretchr/testify/require"
 )
 
+// newServerConn returns a serverConn and the server's end of it.
+func newServerConn(t *testing.T) (*serverConn, net.Conn) {
+	t.Helper()
+	client, server := net.Pipe()
+	conn, err := wrapServerConns(func(context.Context, string, string) (net.Conn, error) { return client, nil })(t.Context(), "tcp", "a:1")
+	require.NoError(t, err)
+	c, ok := conn.(*serverConn)
+	require.True(t, ok)
+	return c, server
+}
+
+// TestRequestBeforeTheTransportReads guards against a request on a connection of which the transport still holds
+// bytes: as long as it does not read, it may have some, and closes the connection if it finds them (P12).
+func TestRequestBeforeTheTransportReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newServerConn(t)
+		result := make(chan error, 1)
+		go func() {
+			c.begin()
+			_, err := c.Write([]byte("request"))
+			result <- err
+		}()
+		synctest.Wait()
+		require.NoError(t, c.Close())
+		require.ErrorIs(t, <-result, errNotWritten)
+	})
+}
+
 // TestRequestOnAUsedConnection guards against a request that is written on a connection whose next bytes may not be
 // its response: it is sent on another one instead, so it must be certain that none of it was written (P12, P65).
 func TestRequestOnAUsedConnection(t *testing.T) {
@@ -33,11 +61,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client, server := net.Pipe()
-				conn, err := wrapServerConns(func(context.Context, string, string) (net.Conn, error) { return client, nil })(t.Context(), "tcp", "a:1")
-				require.NoError(t, err)
-				c, ok := conn.(*serverConn)
-				require.True(t, ok)
+				c, server := newServerConn(t)
 				// Like a transport, read what comes and close the connection at its end.
 				go func() {
 					_, _ = io.Copy(io.Discard, struct{ io.Reader }{c})
@@ -51,7 +75,7 @@
 				}()
 				before := c.begin()
 				require.True(t, before.first)
-				_, err = c.Write([]byte("request"))
+				_, err := c.Write([]byte("request"))
 				require.NoError(t, err)
 				synctest.Wait()
 				began, write, result := make(chan *exchange, 1), make(chan struct{}), make(chan error, 1)
