--- a/coordination/budget/retries.go
+++ b/coordination/budget/retries.go
@@ -18,6 +18,20 @@
 	retries  Window
 }
 
+// SetBounds sets the bounds of the budget. With another span, the retries of the last one count as made at
+// now and its requests are forgotten, so that no more are allowed than with either.
+func (r *Retries) SetBounds(now time.Duration, ratio, slack float64, span time.Duration) {
+	r.Ratio, r.Slack = ratio, slack
+	if span == r.Span {
+		return
+	}
+	r.init()
+	retries := r.retries.Sum(now)
+	r.Span, r.requests, r.retries = span, Window{}, Window{}
+	r.init()
+	r.retries.Add(now, retries)
+}
+
 // CountRequest counts a request that a caller sent.
 func (r *Retries) CountRequest(now time.Duration) {
 	r.init()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -30,14 +30,15 @@
 	lost
 )
 
-// retryBudget returns the retry budget of service. The caller holds retryMu.
-func (g *Gateway) retryBudget(service string) *budget.Retries {
+// retryBudget returns the retry budget of service at now. The caller holds retryMu.
+func (g *Gateway) retryBudget(now time.Duration, service string) *budget.Retries {
 	b, ok := g.retries[service]
 	if !ok {
-		bounds := g.bounds()
-		b = &budget.Retries{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Span: bounds.RetryWindow}
+		b = &budget.Retries{}
 		g.retries[service] = b
 	}
+	bounds := g.bounds()
+	b.SetBounds(now, bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow)
 	return b
 }
 
@@ -45,7 +46,8 @@
 func (g *Gateway) countRequest(c *call) {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	g.retryBudget(c.service.Name).CountRequest(clock.Boot())
+	now := clock.Boot()
+	g.retryBudget(now, c.service.Name).CountRequest(now)
 }
 
 // singleUseBody hides from the transport that a body is empty or can be read again, so that it
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -285,7 +285,8 @@
 	}
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	return g.retryBudget(c.service.Name).Allow(clock.Boot(), g.view.Load().Daemons)
+	now := clock.Boot()
+	return g.retryBudget(now, c.service.Name).Allow(now, g.view.Load().Daemons)
 }
 
 // maxSends bounds the sends of one call, including those that did not run.
