--- a/gateway/front.go
+++ b/gateway/front.go
@@ -304,7 +304,8 @@
 func (g *Gateway) takeRetry(c *call) bool {
 	g.retryMu.Lock()
 	defer g.retryMu.Unlock()
-	return g.retryBudget(c.service.Name).Allow(clock.Boot(), g.view.Load().Daemons)
+	now := clock.Boot()
+	return g.retryBudget(now, c.service.Name).Allow(now, g.view.Load().Daemons)
 }
 
 // maxSends bounds the sends of one call, including those that did not run.
