--- a/coordination/formation/former_test.go
+++ b/coordination/formation/former_test.go
@@ -35,3 +35,19 @@
 		})
 	}
 }
+
+// TestNewLeaderWaitsForLapsedMembers guards against a head that is ordered to stop its work at once by a leader
+// that has just begun, because the entry of a sound member has lapsed in a second of silence (LOST).
+func TestNewLeaderWaitsForLapsedMembers(t *testing.T) {
+	sim := newSimulation(t, 1, 4)
+	sim.serveOnly("small", "large")
+	sim.run(2 * time.Second)
+	sim.frozen["s0-1"] = true
+	delete(sim.fleet.Servers, "s0-1")
+	sim.changeLeader()
+	sim.orders = nil
+	sim.run(500 * time.Millisecond)
+	for _, o := range sim.orders {
+		require.NotEqual(t, formation.Preempt, o.Action, "order to %s of %s", o.Server, o.Group)
+	}
+}
