--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -107,8 +107,9 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := clock.Boot()
 	if conn, err = dial(dialCtx, network, address); err == nil {
-		g.recordConnected(address)
+		g.recordConnected(began, address)
 		return conn, nil
 	}
 	if ctx.Err() == nil {
@@ -117,12 +118,13 @@
 	return nil, err
 }
 
-// recordConnected records that a connection to the server at address was opened.
-func (g *Gateway) recordConnected(address string) {
+// recordConnected records that a connection to the server at address was opened by a dial that began at a
+// time: links that have failed since then may have carried it.
+func (g *Gateway) recordConnected(began time.Duration, address string) {
 	s := g.view.Load().destination(address)
 	ps := &g.paths
 	ps.mu.Lock()
-	regained := ps.paths.Connected(clock.Boot(), s)
+	regained := ps.paths.Connected(began, s)
 	lost := ps.paths.LostPaths()
 	allRegained := ps.manyLost && lost == 0
 	ps.manyLost = ps.manyLost && !allRegained
