--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -127,6 +127,9 @@
 	}
 	g.checkPath(run.server.Address)
 	g.tracker.markSuspect(run.attempt, time.Now())
+	// The server may have ended under the request.
+	g.crashes.recordUnanswered(time.Now(), incarnationOf(run.server), p.call.fingerprint)
+	g.enqueue(unansweredCheck{})
 	p.call.mayHaveRun(&run.try)
 	if g.mayRepeat(p.call, true) && g.takeRetry(p.call) {
 		g.startPlain(ctx, p)
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -37,6 +37,8 @@
 	delivered bool
 	resp      *http.Response
 	try       try
+	// unanswered means that its server is recorded as one that has not answered the request.
+	unanswered bool
 	// nextRetryAt is when its silence is next a reason to start another attempt.
 	nextRetryAt time.Time
 	// written receives the result of writing the events that were passed last.
@@ -351,6 +353,12 @@
 		return
 	}
 	now := time.Now()
+	if !run.unanswered {
+		// The server may have ended under the request.
+		run.unanswered = true
+		g.crashes.recordUnanswered(now, incarnationOf(run.replica.Head), s.call.fingerprint)
+		g.enqueue(unansweredCheck{})
+	}
 	if s.race.Silent(m.number) == hedge.Wait || now.Before(run.nextRetryAt) {
 		return
 	}
--- a/gateway/race_test.go
+++ b/gateway/race_test.go
@@ -38,3 +38,16 @@
 	require.False(t, g.handleMessage(t.Context(), s, runMessage{run: b, ended: true, result: notRun}))
 	require.Equal(t, 1, s.call.ran, "the server proves that it did not run it")
 }
+
+// TestSilentServerMayHaveEnded guards against requests that end one server after the other without a sign, as
+// a server that falls silent under one is known only when the call ends.
+func TestSilentServerMayHaveEnded(t *testing.T) {
+	g := newController().gateway
+	g.startController()
+	defer g.system.Shutdown()
+	s, a, _ := newRunningStream(g)
+	// The controller lists no servers, so that this one counts as ended.
+	a.replica.Head = site.Server{ID: "head", Born: 1}
+	g.handleSilence(t.Context(), s, silence{number: a.number, since: a.attempt.lastEventAt, why: errStalled})
+	require.Eventually(t, func() bool { return len(g.crashes.recent(time.Now())) == 1 }, 5*time.Second, 5*time.Millisecond)
+}
