--- a/coordination/formation/failure.go
+++ b/coordination/formation/failure.go
@@ -10,11 +10,12 @@
 const (
 	// failurePause is how long a server is left alone after it failed to carry out an order. It doubles with
 	// each failure in a row up to maxFailurePause, so that a server that is listed but not there keeps few
-	// others waiting.
+	// others waiting. One that failed for the faults around it is used again within the time that the
+	// platform's pages give for a recovery, 12 s and more.
 	failurePause    = time.Second
-	maxFailurePause = time.Minute
+	maxFailurePause = 8 * time.Second
 	// maxFailureDoublings is the number of doublings that reach maxFailurePause.
-	maxFailureDoublings = 6
+	maxFailureDoublings = 3
 )
 
 // A failure is that a server was absent, declined to join a replica, or was ordered to join or to load
