--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -60,6 +60,10 @@
 
 // applyReport applies a server's report of itself.
 func (c *controller) applyReport(now time.Duration, m serverReport) {
+	if c.servers.recordPace(now, m.server) {
+		c.gateway.logger.Info().Str("event", "server_pace").Str("server", m.server.ID).Str("group", m.server.Member.Group).Float64("pace", m.server.Pace).
+			Msg("server became slow or ceased to be slow")
+	}
 	c.dirty = c.servers.update(now, m.server.ID, m.server.Born, m.server.Member) || c.dirty
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -254,6 +254,9 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name).Str("organisation", c.organisation.Name)
 	}
+	if c.request.Size.Model != "" {
+		line = line.Str("model", c.request.Size.Model)
+	}
 	if c.firstEventDelay > 0 {
 		line = line.Dur("first", c.firstEventDelay).Dur("pause", c.longestPause)
 	}
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -90,7 +90,7 @@
 func (g *Gateway) probeForPeer(m peerMessage) {
 	for _, t := range m.ProbeTargets {
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
-			if g.probeServer(ctx, site.Server{ID: t.ID, Address: t.Address, Born: t.Born}) != probeAlive {
+			if finding, _ := g.probeServer(ctx, site.Server{ID: t.ID, Address: t.Address, Born: t.Born}); finding != probeAlive {
 				return nil
 			}
 			g.peers.mu.Lock()
@@ -147,7 +147,10 @@
 		targets = append(targets, probeTarget{ID: s.ID, Address: s.Address, Born: s.Born})
 		g.work.Go(context.Background(), "probe", func(ctx context.Context) error {
 			began := clock.Boot()
-			finding := g.probeServer(ctx, s)
+			finding, report := g.probeServer(ctx, s)
+			if finding == probeAlive {
+				g.enqueue(serverReport{server: report})
+			}
 			if finding != probeAlive {
 				// Other hubs probe for just as long, and their results may still be in flight.
 				clock.Sleep(ctx, peerProbeMargin)
@@ -170,9 +173,9 @@
 // peerProbeMargin is the time for the round trip to another hub.
 const peerProbeMargin = 100 * time.Millisecond
 
-// probeServer sends probes to a server until it answers one. It does not find out whether a server that
-// answers none accepts connections.
-func (g *Gateway) probeServer(ctx context.Context, s site.Server) probeFinding {
+// probeServer sends probes to a server until it answers one, and returns its report if it is alive. It does
+// not find out whether a server that answers none accepts connections.
+func (g *Gateway) probeServer(ctx context.Context, s site.Server) (probeFinding, site.Server) {
 	for range probeAttempts {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
 		g.metrics.events.Add("probes", 1)
@@ -180,12 +183,12 @@
 		cancel()
 		switch {
 		case err == nil && (s.Born == 0 || now.Born == s.Born):
-			return probeAlive
+			return probeAlive, now
 		case err == nil || platform.IsOtherServer(err):
-			return probeReplaced
+			return probeReplaced, site.Server{}
 		}
 	}
-	return probeUnreached
+	return probeUnreached, site.Server{}
 }
 
 // A peerProbeResult lists servers that answered another hub.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -46,6 +46,9 @@
 	expiresAt time.Duration
 	// reportedAt is when the membership was last reported first-hand, ahead of the list.
 	reportedAt time.Duration
+	// pace is the pace that the server last reported, at pacedAt.
+	pace    float64
+	pacedAt time.Duration
 	// cutOff means that the server is a replica member and seems to be cut off from the store: its
 	// entry lapsed although it was not leaving.
 	cutOff bool
@@ -108,7 +111,7 @@
 	if !known || old.server.Born != s.Born {
 		e.coldUntil = now + coldFor
 	} else {
-		e.lastModel = old.lastModel
+		e.lastModel, e.pace, e.pacedAt = old.lastModel, old.pace, old.pacedAt
 		if old.reportedAt != 0 && now-old.reportedAt < reportTTL && supersedes(old.server.Member, s.Member) {
 			// The list lags behind the server's own report.
 			e.reportedAt, e.server.Member = old.reportedAt, old.server.Member
@@ -144,6 +147,22 @@
 	return true
 }
 
+// slowPace is the pace from which a server counts as slow: well above the spread of sound servers.
+const slowPace = 1.5
+
+// recordPace records the pace that an incarnation of a server reported, and returns whether it became slow or
+// ceased to be.
+func (r *roster) recordPace(now time.Duration, s site.Server) bool {
+	e, ok := r.entries[s.ID]
+	if !ok || e.server.Born != s.Born {
+		return false
+	}
+	was := e.pace >= slowPace
+	e.pace, e.pacedAt = s.Pace, now
+	r.entries[s.ID] = e
+	return was != (e.pace >= slowPace)
+}
+
 // keepClaim keeps in e what is known of the place of its server in a replica, unless its entry before, old,
 // was of another place or incarnation.
 func (r *roster) keepClaim(now time.Duration, e *serverEntry, old serverEntry) {
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -110,3 +110,33 @@
 	require.Equal(t, "b", r.entries["s"].server.Address)
 	require.Equal(t, time.Second, r.entries["s"].coldUntil, "an incarnation that is seen for the first time is cold")
 }
+
+// TestPaceOfAServer guards against a pace that outlives the run of the server that reported it, or that is lost
+// with the next entry of the list, which does not tell it.
+func TestPaceOfAServer(t *testing.T) {
+	slow := site.Server{ID: "s", Born: 5, Pace: 4}
+	for _, tc := range []struct {
+		name    string
+		then    func(r *roster) bool
+		changed bool
+		want    float64
+	}{
+		{"kept_with_the_next_entry", func(r *roster) bool {
+			return r.put(0, 11, site.Server{ID: "s", Service: "models", Address: "a", Born: 5, Sequence: 4}, 0)
+		}, false, 4},
+		{"ends_with_the_run", func(r *roster) bool {
+			return r.put(0, 11, site.Server{ID: "s", Service: "models", Address: "a", Born: 6}, 0)
+		}, true, 0},
+		{"slow_still", func(r *roster) bool { return r.recordPace(0, site.Server{ID: "s", Born: 5, Pace: 3}) }, false, 3},
+		{"no_longer_slow", func(r *roster) bool { return r.recordPace(0, site.Server{ID: "s", Born: 5, Pace: 1.1}) }, true, 1.1},
+		{"report_of_another_run", func(r *roster) bool { return r.recordPace(0, site.Server{ID: "s", Born: 4, Pace: 1}) }, false, 4},
+		{"report_of_another_server", func(r *roster) bool { return r.recordPace(0, site.Server{ID: "t", Born: 5, Pace: 1}) }, false, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRosterWithServer()
+			require.True(t, r.recordPace(0, slow))
+			require.Equal(t, tc.changed, tc.then(r))
+			require.InDelta(t, tc.want, r.entries["s"].pace, 0)
+		})
+	}
+}
--- a/state/site/server.go
+++ b/state/site/server.go
@@ -48,4 +48,7 @@
 	Models []string
 	Staged []string
 	Member Membership
+	// Pace is the factor by which the server says that it is slower than its engine's published figures, zero
+	// if it has not said so. Only its reports tell it, not its list entry.
+	Pace float64
 }
