--- a/coordination/dispatch/pace.go
+++ b/coordination/dispatch/pace.go
@@ -59,6 +59,11 @@
 	return p.samples >= minSamples && now.Sub(p.updatedAt) <= paceTTL
 }
 
+// Slow returns the ratio of p, and whether it is that of a slow replica at now.
+func (p Pace) Slow(now time.Time) (ratio float64, slow bool) {
+	return p.ratio, p.valid(now) && p.ratio > slowThreshold
+}
+
 // Slowdowns returns the factor by which each of paces is slower than the median, 1 if it is not
 // or if it is not valid. What slows all of them alike, such as this daemon's own processor, does
 // not make any of them slow.
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -126,35 +126,40 @@
 	return m.Name != top.Name && s.timeToReady(server, top) < top.Load && !slices.Contains(server.Staged, top.Name)
 }
 
-// pickMembers returns the idle servers for a replica of m, all of one fabric domain: the one with
-// the fewest idle servers that suffice. It skips servers that would no longer be able to run top.
+// pickMembers returns the idle servers for a replica of m, all of one fabric domain: of those with the
+// fewest slow ones among them, the one with the fewest idle servers that suffice. It skips servers that would no longer be able to run top.
 func (s *step) pickMembers(m, top site.Model) []site.Server {
 	var best []site.Server
-	fewest := 0
+	fewest, slowest := 0, 0
 	for _, domain := range slices.Sorted(maps.Keys(s.idle)) {
 		free := slices.DeleteFunc(s.capable(s.idle[domain], m), func(server site.Server) bool { return s.wouldLose(server, m, top) })
-		if m.Size > 0 && len(free) >= m.Size && (best == nil || len(free) < fewest) {
-			best, fewest = free[:m.Size], len(free)
+		if m.Size == 0 || len(free) < m.Size {
+			continue
+		}
+		slow := s.countSlow(free[:m.Size])
+		if best == nil || slow < slowest || slow == slowest && len(free) < fewest {
+			best, fewest, slowest = free[:m.Size], len(free), slow
 		}
 	}
 	return best
 }
 
-// capable returns those of servers that can run m without a load: first those that did not fail lately,
-// then the fastest to be ready.
+// capable returns those of servers that can run m without a load: first those that did not fail lately, then
+// those that are not slow, then the fastest to be ready.
 // Before traffic starts, it returns all of them.
 func (s *step) capable(servers []site.Server, m site.Model) []site.Server {
 	out := slices.DeleteFunc(slices.Clone(servers), func(server site.Server) bool {
 		return s.fleet.TrafficStarted && s.timeToReady(server, m) >= m.Load
 	})
 	slices.SortStableFunc(out, func(a, b site.Server) int {
-		return cmp.Or(cmp.Compare(s.planner.failures[a.ID].count, s.planner.failures[b.ID].count), cmp.Compare(s.timeToReady(a, m), s.timeToReady(b, m)))
+		return cmp.Or(cmp.Compare(s.planner.failures[a.ID].count, s.planner.failures[b.ID].count), s.compareSlow(a, b),
+			cmp.Compare(s.timeToReady(a, m), s.timeToReady(b, m)))
 	})
 	return out
 }
 
 // formReplica orders members to form a replica of m.
-func (s *step) formReplica(m site.Model, members []site.Server) {
+func (s *step) formReplica(m site.Model, members []site.Server) *formingReplica {
 	p := s.planner
 	p.sequence++
 	f := &formingReplica{model: m.Name, epoch: p.term*epochsPerTerm + p.sequence, at: s.now}
@@ -173,6 +178,7 @@
 		}
 		s.removeIdle(server)
 	}
+	return f
 }
 
 // removeIdle marks server as busy and removes it from the idle servers.
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -27,6 +27,8 @@
 	// Demand is the requested work per model, as the number of replicas it keeps busy. If any model
 	// has no demand, the shares in the engine's configuration are used instead.
 	Demand map[string]float64
+	// Pace holds the servers that report to be slower than published, with the factor.
+	Pace map[string]float64
 	// TrafficStarted is true once clients have begun to send requests.
 	TrafficStarted bool
 	// StallTimeout is how long a head without all of its members may go on serving before it
@@ -63,9 +65,10 @@
 	servingMembers map[string][]string
 	// losses holds, by server, the loss of its replica until the server serves in a replica again.
 	losses map[string]*loss
-	// repairs and stopped collect the results of Repairs and StoppedReplicas.
-	repairs []Repair
-	stopped []StoppedReplica
+	// repairs, stopped and reformed collect the results of Repairs, StoppedReplicas and Reforms.
+	repairs  []Repair
+	stopped  []StoppedReplica
+	reformed []Reform
 	// highestEpoch is the highest epoch of the orders to join that were sent to each server.
 	highestEpoch map[string]int64
 	// successorOrdered holds the lost replicas whose successor has already been ordered.
@@ -101,6 +104,8 @@
 	members []string
 	at      time.Duration
 	failed  bool
+	// reforms means that it takes the place of replicas that were closed for their slow members.
+	reforms bool
 }
 
 // New returns a planner for a term that begins at now. Terms must only increase.
@@ -199,6 +204,7 @@
 		s.formSuccessors()
 		s.formReplicas()
 		s.retireReplicas()
+		s.replaceSlowMembers()
 	}
 	s.stageModels()
 	s.forget()
--- a/coordination/formation/retire.go
+++ b/coordination/formation/retire.go
@@ -22,6 +22,8 @@
 type retirement struct {
 	replicas []string
 	at       time.Duration
+	// forPace means that the replicas are closed because they have slow members.
+	forPace bool
 }
 
 // retireReplicas closes replicas of a model that is needed less where their servers, with the idle
@@ -63,10 +65,15 @@
 	return s.complete(r) && r.members[0].Member.State == site.Open && s.planner.retired[r.name] == nil
 }
 
-// reliable returns how many idle servers of a fabric domain can run m without a load and have not failed
-// lately: no replica is closed for one that may not be there.
-func (s *step) reliable(domain string, m site.Model) int {
-	return len(slices.DeleteFunc(s.capable(s.idle[domain], m), func(server site.Server) bool { return s.planner.failures[server.ID].count > 0 }))
+// reliable returns whether server has not failed lately and is not slow: no replica is closed for one that may
+// not be there.
+func (s *step) reliable(server site.Server) bool {
+	return s.planner.failures[server.ID].count == 0 && !s.slow(server)
+}
+
+// countReliable returns how many reliable idle servers of a fabric domain can run m without a load.
+func (s *step) countReliable(domain string, m site.Model) int {
+	return len(slices.DeleteFunc(s.capable(s.idle[domain], m), func(server site.Server) bool { return !s.reliable(server) }))
 }
 
 // makesRoom returns whether closing r makes room for a replica of m and is worth it.
@@ -74,7 +81,7 @@
 	if r.model.Name == m.Name || r.model.Size >= m.Size {
 		return false
 	}
-	free := s.reliable(r.members[0].FabricDomain, m)
+	free := s.countReliable(r.members[0].FabricDomain, m)
 	if free == 0 || free >= m.Size || free+len(s.capable(slices.Collect(maps.Values(r.members)), m)) < m.Size {
 		return false
 	}
@@ -96,7 +103,7 @@
 	var fewest []*replica
 	for _, domain := range slices.Sorted(maps.Keys(serving)) {
 		var toClose []*replica
-		servers := s.reliable(domain, m)
+		servers := s.countReliable(domain, m)
 		for _, r := range serving[domain] {
 			if members := len(s.capable(slices.Collect(maps.Values(r.members)), m)); members > 0 && servers < m.Size {
 				toClose, servers = append(toClose, r), servers+members
--- a/coordination/formation/succeed.go
+++ b/coordination/formation/succeed.go
@@ -40,14 +40,18 @@
 			remaining = append(remaining, server)
 		}
 	}
-	missing := r.model.Size - len(remaining)
-	if len(remaining) == 0 || missing <= 0 {
+	if len(remaining) == 0 {
 		return nil
 	}
 	spares := slices.DeleteFunc(s.capable(s.idle[remaining[0].FabricDomain], r.model), func(spare site.Server) bool {
 		return s.timeToReady(spare, r.model) == 0
 	})
-	if len(spares) < missing {
+	slices.SortStableFunc(remaining, s.compareSlow)
+	if sound := remaining[:len(remaining)-s.countSlow(remaining)]; len(sound) > 0 && len(sound)+len(spares)-s.countSlow(spares) >= r.model.Size {
+		remaining = sound
+	}
+	missing := r.model.Size - len(remaining)
+	if missing <= 0 || len(spares) < missing {
 		return nil
 	}
 	return slices.Concat(spares[:missing], remaining)
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -134,6 +134,10 @@
 			// Its members are free.
 			return
 		}
+		if ret := s.planner.retired[r.name]; ret.forPace && s.now-ret.at > drainTime && headServer.Member.State > site.Ready {
+			// Its requests go on elsewhere sooner than here.
+			s.orderAction(headServer, Preempt, r.name, r.epoch)
+		}
 	}
 	for _, server := range r.members {
 		s.busy[server.ID], s.serving[server.ID] = true, true
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -123,6 +123,8 @@
 	// demand is the work that callers requested of each model, in seconds of a replica.
 	demand  map[string]*budget.Window
 	notices notice.Register
+	// slow holds the replicas that this daemon and others have found to be slow.
+	slow dispatch.SlowReplicas
 }
 
 // target returns the state of a target. The caller holds the lock.
@@ -189,6 +191,9 @@
 		s.meanPause += time.Duration(meanPauseWeight * float64(pause-s.meanPause))
 		if a.engine != nil {
 			s.pace.Observe(a.engine, a.model, s.load().Add(b.workAtPeers(s.epoch, now).Load), pause, now)
+			if ratio, slow := s.pace.Slow(now); slow {
+				b.slow.Record(clock.Boot(), s.epoch, ratio)
+			}
 		}
 	}
 	s.lastEventAt, a.lastEventAt, a.started, a.isSilent = now, now, true, false
@@ -386,6 +391,20 @@
 	return w
 }
 
+// mergeSlow records the replicas that another daemon found to be slow.
+func (b *attemptTracker) mergeSlow(findings []dispatch.SlowReplica) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow.Merge(clock.Boot(), findings)
+}
+
+// slowReplicas returns the replicas that were found to be slow lately.
+func (b *attemptTracker) slowReplicas() []dispatch.SlowReplica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.slow.Recent(clock.Boot())
+}
+
 // isSilentSince returns whether a has had no event since a time.
 func (b *attemptTracker) isSilentSince(a *attempt, since time.Time) bool {
 	b.mu.Lock()
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -40,21 +40,56 @@
 			continue
 		}
 		c.leadership.polledAt[s.ID] = now
-		g := c.gateway
-		g.work.Go(context.Background(), "report", func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			g.metrics.events.Add("probes", 1)
-			report, err := g.engines.Report(ctx, s)
-			if err != nil {
-				// The list shows the change later, and other probes determine whether the server is
-				// alive.
-				g.metrics.events.Add("reports_failed", 1)
-				return nil
-			}
-			g.enqueue(serverReport{server: report})
+		c.gateway.pollReport(s)
+	}
+}
+
+// pollReport asks s for its report, for the controller.
+func (g *Gateway) pollReport(s site.Server) {
+	g.work.Go(context.Background(), "report", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		g.metrics.events.Add("probes", 1)
+		report, err := g.engines.Report(ctx, s)
+		if err != nil {
+			// The list shows the change later, and other probes determine whether the server is
+			// alive.
+			g.metrics.events.Add("reports_failed", 1)
 			return nil
-		})
+		}
+		g.enqueue(serverReport{server: report})
+		return nil
+	})
+}
+
+const (
+	// pacePollInterval is the time between two polls of a server that may be slow.
+	pacePollInterval = 2 * time.Second
+	// pacePollsPerSecond bounds these polls: all members of a few replicas at once.
+	pacePollsPerSecond = 100
+)
+
+// pollPaces polls the members of the replicas that daemons found to be slow, and the servers that were slow when
+// they were last asked.
+func (c *controller) pollPaces(now time.Duration) {
+	l := &c.leadership
+	l.pacePolls.Rate, l.pacePolls.Burst = pacePollsPerSecond, pacePollsPerSecond
+	suspects := make(map[int64]bool)
+	for _, r := range c.gateway.tracker.slowReplicas() {
+		suspects[r.Epoch] = true
+	}
+	for id, e := range c.servers.entries {
+		if e.pace < slowPace && !suspects[e.server.Member.Epoch] || e.server.Draining {
+			continue
+		}
+		if at, ok := l.pacePolledAt[id]; ok && now-at < pacePollInterval {
+			continue
+		}
+		if !l.pacePolls.Allow(now) {
+			return
+		}
+		l.pacePolledAt[id] = now
+		c.gateway.pollReport(e.server)
 	}
 }
 
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/budget"
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/coordination/tenure"
@@ -72,6 +73,9 @@
 	polledAt map[string]time.Duration
 	aliveAt  map[string]time.Duration
 	dead     map[string]deadServer
+	// pacePolledAt holds when each server was last asked whether it is slow.
+	pacePolledAt map[string]time.Duration
+	pacePolls    budget.Bucket
 	// silent holds the servers that accept connections and have answered no probe.
 	silent map[string]silentServer
 }
@@ -167,7 +171,7 @@
 	}
 	line.Msg("this daemon started or stopped leading")
 	l.planner, l.probedAt, l.aliveAt, l.polledAt = nil, make(map[string]time.Duration), make(map[string]time.Duration), make(map[string]time.Duration)
-	l.silent = make(map[string]silentServer)
+	l.silent, l.pacePolledAt = make(map[string]silentServer), make(map[string]time.Duration)
 	if leads {
 		l.planner = formation.New(term, now)
 		l.term = term
@@ -260,14 +264,18 @@
 	}
 	c.probeStalled(now)
 	f := formation.Fleet{
-		Engine: service.Engine, Servers: make(map[string]site.Server), CutOff: make(map[string]bool), LastModel: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), OutOfService: c.domainsOut,
+		Engine: service.Engine, Servers: make(map[string]site.Server), CutOff: make(map[string]bool), LastModel: make(map[string]string), Demand: c.demand(), Dead: make(map[string]bool), OutOfService: c.domainsOut, Pace: make(map[string]float64),
 		TrafficStarted: c.trafficStarted(), StallTimeout: c.gateway.bounds().Stall,
 		LoadLimit: service.Engine.LoadsPerSecond * c.gateway.bounds().CeilingWindow.Seconds(), LoadWindow: c.gateway.bounds().CeilingWindow,
 	}
+	c.pollPaces(now)
 	for _, e := range c.consistentServers() {
 		if e.server.Service != service.Name || !e.isUsable() {
 			continue
 		}
+		if e.pace >= slowPace {
+			f.Pace[e.server.ID] = e.pace
+		}
 		f.Servers[e.server.ID], f.LastModel[e.server.ID] = e.server, e.lastModel
 		if e.cutOff {
 			f.CutOff[e.server.ID] = true
@@ -285,6 +293,11 @@
 		c.gateway.logger.Info().Str("event", "replica_repaired").Str("group", r.Replica).Str("model", r.Model).Str("cause", r.Cause.String()).
 			Dur("after", r.Downtime).Msg("servers of a lost replica are serving again")
 	}
+	for _, r := range c.leadership.planner.Reforms() {
+		c.gateway.metrics.events.Add("replicas_reformed", 1)
+		c.gateway.logger.Info().Str("event", "replica_reformed").Str("group", r.Replica).Str("model", r.Model).Int("slow", r.Slow).
+			Msg("replica is formed anew without its slow members")
+	}
 	for _, e := range c.leadership.planner.StoppedReplicas() {
 		c.broadcastChange(replicaChange{Group: e.Replica, Epoch: e.Epoch})
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
@@ -90,6 +91,8 @@
 	AnsweredParts []quarantine.PartAnswer `cbor:"16,keyasint,omitempty"`
 	// Level is the level of the sender's build.
 	Level level.Level `cbor:"17,keyasint,omitempty"`
+	// Slow lists the replicas that daemons found to be slow lately.
+	Slow []dispatch.SlowReplica `cbor:"18,keyasint,omitempty"`
 }
 
 // A peerSender is a link to another daemon and when it was last used.
@@ -200,7 +203,7 @@
 	g.chooseUpdateSource(view, hubs, now)
 	m := peerMessage{
 		From: g.incarnation, Crashes: g.crashes.recent(time.Now()), Leaving: g.tracker.leavingToAnnounce(),
-		FromHub: ps.isHub, AnsweredParts: g.crashes.partAnswers(time.Now()), Summary: g.tracker.summary(g.incarnation, time.Now()),
+		FromHub: ps.isHub, AnsweredParts: g.crashes.partAnswers(time.Now()), Summary: g.tracker.summary(g.incarnation, time.Now()), Slow: g.tracker.slowReplicas(),
 	}
 	if ps.isHub {
 		m.Summary = g.hubSummary(now)
@@ -393,6 +396,7 @@
 	g.crashes.applyPartAnswers(time.Now(), m.AnsweredParts)
 	g.applyPeerCrashes(m)
 	g.applyPeerLeaving(m)
+	g.tracker.mergeSlow(m.Slow)
 	if len(m.Changes) > 0 {
 		g.enqueue(peerChanges{changes: m.Changes})
 	}
@@ -423,7 +427,7 @@
 	}
 	answer.Changes = ps.announcements.unsentTo(m.From)
 	answer.Crashes, answer.Leaving = g.crashes.recent(time.Now()), g.tracker.leavingToAnnounce()
-	answer.AnsweredParts = g.crashes.partAnswers(time.Now())
+	answer.AnsweredParts, answer.Slow = g.crashes.partAnswers(time.Now()), g.tracker.slowReplicas()
 	for topic, offset := range m.Offsets {
 		if update, ok := ps.updatesFor(m.From, topic, offset, now); ok {
 			update.ReadAt -= now
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -269,6 +269,7 @@
 func (c *controller) expireProbeState(now time.Duration) {
 	maps.DeleteFunc(c.leadership.polledAt, func(_ string, at time.Duration) bool { return now-at > reportPollInterval })
 	maps.DeleteFunc(c.leadership.probedAt, func(_ string, at time.Duration) bool { return now-at > probeInterval })
+	maps.DeleteFunc(c.leadership.pacePolledAt, func(_ string, at time.Duration) bool { return now-at >= pacePollInterval })
 	maps.DeleteFunc(c.leadership.silent, func(_ string, s silentServer) bool { return now-s.lastAt > deadTTL })
 	maps.DeleteFunc(c.leadership.aliveAt, func(_ string, at time.Duration) bool { return now-at >= aliveTTL })
 	for id, d := range c.leadership.dead {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -164,7 +164,7 @@
 		})
 	}
 	for i, slowdown := range dispatch.Slowdowns(paces, now) {
-		candidates[i].Slowdown = slowdown
+		candidates[i].Slowdown = max(slowdown, b.slow.Ratio(clock.Boot(), replicas[i].Epoch))
 	}
 	return replicas, candidates
 }
