--- a/coordination/dispatch/slow.go
+++ b/coordination/dispatch/slow.go
@@ -67,6 +67,20 @@
 	return out
 }
 
+// Slowdowns returns the factor by which each of the replicas with the given epochs was found to be slower than the
+// median of them, 1 if it was not: where all are slow, none is worth avoiding.
+func (r *SlowReplicas) Slowdowns(now time.Duration, epochs []int64) []float64 {
+	ratios := make([]float64, 0, len(epochs))
+	for _, epoch := range epochs {
+		ratios = append(ratios, r.Ratio(now, epoch))
+	}
+	sorted := slices.Sorted(slices.Values(ratios))
+	for i := range ratios {
+		ratios[i] = max(ratios[i]/sorted[(len(sorted)-1)/2], 1)
+	}
+	return ratios
+}
+
 // Ratio returns the factor by which the replica with the given epoch was found to be slow, 1 if it was not.
 func (r *SlowReplicas) Ratio(now time.Duration, epoch int64) float64 {
 	if f, ok := r.found[epoch]; ok && now-f.at < slowTTL {
--- a/coordination/dispatch/slow_test.go
+++ b/coordination/dispatch/slow_test.go
@@ -19,6 +19,18 @@
 	// Output: 4 1
 }
 
+// TestSlowdownsThatOthersFound guards against requests that are refused as too late because all replicas are slow.
+func TestSlowdownsThatOthersFound(t *testing.T) {
+	var r dispatch.SlowReplicas
+	for epoch, ratio := range map[int64]float64{1: 4, 2: 2, 3: 8} {
+		r.Record(0, epoch, ratio)
+	}
+	require.Equal(t, []float64{4, 2, 8, 1, 1, 1, 1}, r.Slowdowns(0, []int64{1, 2, 3, 4, 5, 6, 7}))
+	require.Equal(t, []float64{1, 1, 2}, r.Slowdowns(0, []int64{1, 2, 3}))
+	require.Equal(t, []float64{1}, r.Slowdowns(0, []int64{3}))
+	require.Empty(t, r.Slowdowns(0, nil))
+}
+
 // TestSlowReplicasOfOthers guards against findings that never end as daemons pass them on to each other, and against
 // numbers that no daemon has found.
 func TestSlowReplicasOfOthers(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,6 +149,7 @@
 		replicas   []Replica
 		candidates []dispatch.Candidate
 		paces      []dispatch.Pace
+		epochs     []int64
 	)
 	for _, r := range view.Replicas[servedModel{service: s.call.service.Name, model: model.Name}] {
 		state := b.target(r.Name)
@@ -157,14 +158,15 @@
 			continue
 		}
 		other := b.workAtPeers(r.Epoch, now)
-		replicas, paces = append(replicas, r), append(paces, state.pace)
+		replicas, paces, epochs = append(replicas, r), append(paces, state.pace), append(epochs, r.Epoch)
 		candidates = append(candidates, dispatch.Candidate{
 			Load: state.load().Add(other.Load), Remote: r.Head.FailureDomain != g.settings.FailureDomain || route == detour.Around,
 			SinceEvent: timeSinceEvent(state, other, now),
 		})
 	}
+	told := b.slow.Slowdowns(clock.Boot(), epochs)
 	for i, slowdown := range dispatch.Slowdowns(paces, now) {
-		candidates[i].Slowdown = max(slowdown, b.slow.Ratio(clock.Boot(), replicas[i].Epoch))
+		candidates[i].Slowdown = max(slowdown, told[i])
 	}
 	return replicas, candidates
 }
