--- a/gateway/heartbeat.go
+++ b/gateway/heartbeat.go
@@ -106,17 +106,51 @@
 	if !g.settings.FirstRun {
 		g.awaitPredecessor(ctx)
 	}
+	ended := make(chan struct{}, maxHeartbeatsInFlight)
+	inFlight, lastState := 0, heartbeatState{}
 	for ctx.Err() == nil {
-		g.sendHeartbeat(ctx)
+		// A heartbeat that arrives late must not undo what a later one says.
+		for state := g.heartbeatState(); inFlight > 0 && (state != lastState || inFlight >= maxHeartbeatsInFlight); inFlight-- {
+			<-ended
+		}
+		lastState = g.heartbeatState()
+		inFlight++
+		g.work.Go(ctx, "heartbeat", func(ctx context.Context) error {
+			g.sendHeartbeat(ctx)
+			ended <- struct{}{}
+			return nil
+		})
 		interval := max(heartbeatInterval, time.Second*time.Duration(g.view.Load().Daemons)/maxHeartbeatsPerSecond)
 		if g.term.Load() != 0 {
 			interval = leaderInterval
 		}
 		sleepOrWake(ctx, interval, g.heartbeatNow)
+		for len(ended) > 0 {
+			<-ended
+			inFlight--
+		}
+	}
+	for ; inFlight > 0; inFlight-- {
+		<-ended
 	}
 	return nil
 }
 
+// maxHeartbeatsInFlight is the number of heartbeats that may be on their way to the store at once, so that a leader
+// keeps its lease while the store takes as long as appendTimeout to accept one.
+const maxHeartbeatsInFlight = 3
+
+// A heartbeatState is what must not change between two heartbeats that are on their way at once.
+type heartbeatState struct {
+	ready, leaving bool
+	term           int64
+}
+
+// heartbeatState returns the state that the next heartbeat tells.
+func (g *Gateway) heartbeatState() heartbeatState {
+	return heartbeatState{ready: g.ready(), leaving: g.leaving.Load(), term: g.term.Load()}
+}
+
 // awaitPredecessor waits until the heartbeat of the previous incarnation has been read, but no
 // longer than the other daemons can wait for the first one of this incarnation.
 func (g *Gateway) awaitPredecessor(ctx context.Context) {
@@ -178,5 +212,5 @@
 		g.logger.Warn().Str("event", "heartbeat_failed").Err(err).Msg("cannot write heartbeat to the store")
 		return
 	}
-	g.enqueue(heartbeatStored{sentAt: sent, term: g.term.Load()})
+	g.enqueue(heartbeatStored{sentAt: sent, term: h.Term})
 }
