--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -103,6 +103,10 @@
 func (s *step) formOne() bool {
 	models := s.modelsByNeed()
 	for _, m := range models {
+		if s.bulk+m.Size > max(maxBulkOrders, m.Size) {
+			// Its members would be ordered to join only later.
+			return false
+		}
 		top := models[0]
 		if s.mostNeeded(m) {
 			// The need for m justifies using servers that could run the most needed model.
--- a/coordination/formation/load.go
+++ b/coordination/formation/load.go
@@ -32,9 +32,10 @@
 
 // load orders server to load m onto its host, and counts it against the limits.
 func (s *step) load(server site.Server, m site.Model) {
-	s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
-	s.planner.loadStarts = append(s.planner.loadStarts, s.now)
-	s.orderStage(server, m)
+	if s.orderStage(server, m) {
+		s.planner.loading[server.ID] = load{model: m.Name, at: s.now}
+		s.planner.loadStarts = append(s.planner.loadStarts, s.now)
+	}
 }
 
 // stageModels orders idle servers without weights to load the model that their fabric domain is
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -229,10 +229,20 @@
 	idle          map[string][]site.Server
 	replicaCount  map[string]int
 	orders        []Order
+	// bulk is the number of orders to join or stage among them.
+	bulk int
 }
 
-// order appends o unless it was sent recently, and returns whether it did.
+// maxBulkOrders bounds the orders to join or stage in one step. A leader that sends an order to each of hundreds of
+// servers at once has no processor time left for its heartbeats, and loses its lease before it has the answers.
+const maxBulkOrders = 40
+
+// order appends o unless it was sent recently or has to wait for a later step, and returns whether it did.
 func (s *step) order(o Order) bool {
+	isBulk := o.Action == Join || o.Action == Stage
+	if isBulk && s.bulk >= maxBulkOrders {
+		return false
+	}
 	key := orderKey(o.Server, o.Action, o.Group)
 	wait := resendAfter
 	last, ok := s.planner.sentOrders[key]
@@ -246,6 +256,9 @@
 	if o.Action == Join {
 		s.planner.highestEpoch[o.Server] = max(o.Epoch, s.planner.highestEpoch[o.Server])
 	}
+	if isBulk {
+		s.bulk++
+	}
 	o.Fence = s.planner.term
 	s.orders = append(s.orders, o)
 	return true
@@ -264,9 +277,9 @@
 	})
 }
 
-// orderStage orders a server to load m onto its host.
-func (s *step) orderStage(server site.Server, m site.Model) {
-	s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
+// orderStage orders a server to load m onto its host, and returns whether it did.
+func (s *step) orderStage(server site.Server, m site.Model) bool {
+	return s.order(Order{Server: server.ID, Address: server.Address, Action: Stage, Model: m.Name})
 }
 
 // orderKey identifies the orders with one action to one server about one replica.
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
@@ -35,15 +37,29 @@
 // pollAwaitedServers polls the servers that are about to change, whose reports are ahead of the
 // list.
 func (c *controller) pollAwaitedServers(now time.Duration) {
-	for _, s := range c.leadership.planner.PendingServers() {
-		if at, ok := c.leadership.polledAt[s.ID]; ok && now-at < reportPollInterval {
+	l := &c.leadership
+	pending := l.planner.PendingServers()
+	// Those that were polled longest ago come first.
+	slices.SortStableFunc(pending, func(a, b site.Server) int { return cmp.Compare(l.polledAt[a.ID], l.polledAt[b.ID]) })
+	for _, s := range pending {
+		if at, ok := l.polledAt[s.ID]; ok && now-at < reportPollInterval {
 			continue
 		}
-		c.leadership.polledAt[s.ID] = now
+		if !l.reportPolls.Allow(now) {
+			return
+		}
+		l.polledAt[s.ID] = now
 		c.gateway.pollReport(s)
 	}
 }
 
+// reportPollsPerSecond bounds the polls of a leader, and maxReportPolls those at once: a tenth of the processor of the
+// smallest instances that are hubs. While hundreds of servers join at the same time, each is polled less often.
+const (
+	reportPollsPerSecond = 300
+	maxReportPolls       = 60
+)
+
 // pollReport asks s for its report, for the controller.
 func (g *Gateway) pollReport(s site.Server) {
 	g.work.Go(context.Background(), "report", func(ctx context.Context) error {
@@ -73,7 +89,6 @@
 // they were last asked.
 func (c *controller) pollPaces(now time.Duration) {
 	l := &c.leadership
-	l.pacePolls.Rate, l.pacePolls.Burst = pacePollsPerSecond, pacePollsPerSecond
 	suspects := make(map[int64]bool)
 	for _, r := range c.gateway.tracker.slowReplicas() {
 		suspects[r.Epoch] = true
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -75,7 +75,8 @@
 	dead     map[string]deadServer
 	// pacePolledAt holds when each server was last asked whether it is slow.
 	pacePolledAt map[string]time.Duration
-	pacePolls    budget.Bucket
+	// pacePolls and reportPolls bound the polls of servers that may be slow, and of those that are about to change.
+	pacePolls, reportPolls budget.Bucket
 	// silent holds the servers that accept connections and have answered no probe.
 	silent map[string]silentServer
 }
@@ -174,6 +175,8 @@
 	l.silent, l.pacePolledAt = make(map[string]silentServer), make(map[string]time.Duration)
 	if leads {
 		l.planner = formation.New(term, now)
+		l.pacePolls = budget.Bucket{Rate: pacePollsPerSecond, Burst: pacePollsPerSecond}
+		l.reportPolls = budget.Bucket{Rate: reportPollsPerSecond, Burst: maxReportPolls}
 		l.term = term
 		c.gateway.requestHeartbeat()
 	}
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hawthornrock/hawthornrock/coordination/budget"
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
@@ -40,6 +43,7 @@
 		c.servers.put(0, int64(n+1), site.Server{ID: id, Address: id, Born: 1, Member: site.Membership{Group: "large/1/1", Epoch: 7}}, 0)
 	}
 	c.leadership.pacePolledAt = make(map[string]time.Duration)
+	c.leadership.pacePolls = budget.Bucket{Rate: pacePollsPerSecond, Burst: pacePollsPerSecond}
 	asked := func(now time.Duration) int {
 		c.pollPaces(now)
 		return len(c.leadership.pacePolledAt)
@@ -50,3 +54,30 @@
 	require.Equal(t, pacePollsPerSecond, asked(0))
 	require.Equal(t, 2*pacePollsPerSecond, asked(time.Second))
 }
+
+// TestPollsOfManyServers guards against a leader that polls hundreds of servers which are about to change every 100 ms,
+// and has no processor time left for its heartbeats. Each server has its turn.
+func TestPollsOfManyServers(t *testing.T) {
+	c := newController()
+	l := &c.leadership
+	l.planner = formation.New(1, 0)
+	l.polledAt, l.reportPolls = make(map[string]time.Duration), budget.Bucket{Rate: reportPollsPerSecond, Burst: maxReportPolls}
+	engine := &site.Engine{Models: []site.Model{{Name: "large", Size: 16, Pace: 1, Share: 1, Load: time.Second}}}
+	servers := make(map[string]site.Server)
+	for n := range 160 {
+		id := fmt.Sprint("s", n)
+		servers[id] = site.Server{ID: id, Address: id, Born: 1, Member: site.Membership{Group: fmt.Sprint("large/0/", n/16), Epoch: int64(1 + n/16), Rank: n % 16, State: site.Joining}}
+	}
+	polls, polled := 0, make(map[string]bool)
+	for now := time.Duration(0); now < 2*time.Second; now += tickInterval {
+		l.planner.Step(now, formation.Fleet{Engine: engine, Servers: servers, LastModel: map[string]string{}})
+		c.pollAwaitedServers(now)
+		for id, at := range l.polledAt {
+			if at == now {
+				polls, polled[id] = polls+1, true
+			}
+		}
+	}
+	require.Len(t, polled, len(servers))
+	require.LessOrEqual(t, polls, 2*reportPollsPerSecond+maxReportPolls)
+}
