--- a/coordination/budget/bucket.go
+++ b/coordination/budget/bucket.go
@@ -27,6 +27,24 @@
 	return true
 }
 
+// Take counts one event at now, whether or not it may pass.
+func (b *Bucket) Take(now time.Duration) {
+	b.used = max(0, b.used-b.Rate*(now-b.at).Seconds()) + 1
+	b.at = now
+}
+
+// roundingError is the part of an event that the sum of many small parts may be off.
+const roundingError = 1e-6
+
+// Wait returns how long after now the next event may pass, zero if it may at once.
+func (b *Bucket) Wait(now time.Duration) time.Duration {
+	excess := max(0, b.used-b.Rate*(now-b.at).Seconds()) + 1 - b.Burst
+	if excess <= roundingError {
+		return 0
+	}
+	return max(time.Duration(excess/b.Rate*float64(time.Second)), 1)
+}
+
 const (
 	// maxColdSenders bounds the daemons that send to one cold server. In larger deployments each
 	// server has a subset of its own, so that the share of each sender is large enough to be of
@@ -40,16 +58,7 @@
 // MaySendToCold returns whether self is one of the daemons of members that may send to a cold
 // server.
 func MaySendToCold(self, server string, members []string) bool {
-	if len(members) <= maxColdSenders {
-		return true
-	}
-	own, heavier := rendezvous.Weight(self, server), 0
-	for _, m := range members {
-		if m != self && rendezvous.Weight(m, server) > own {
-			heavier++
-		}
-	}
-	return heavier < maxColdSenders
+	return rendezvous.Among(self, server, members, maxColdSenders)
 }
 
 // ColdShare returns the rate and burst of one sender to a cold server in a deployment of members
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -102,8 +102,7 @@
 	suspectUntil time.Time
 	// checking means that it is being found out whether the target or only this daemon's path to it
 	// has failed.
-	checking   bool
-	coldBucket budget.Bucket
+	checking bool
 }
 
 // An attemptTracker tracks the requests that this daemon has in flight at each server. The zero
@@ -125,6 +124,11 @@
 	notices notice.Register
 	// slow holds the replicas that this daemon and others have found to be slow.
 	slow dispatch.SlowReplicas
+	// limits holds what servers say that they take, accounts what this daemon has sent to each.
+	limits   notice.Limits
+	accounts map[notice.Incarnation]*budget.Account
+	// brokenLimits are servers whose answers named limits that are none.
+	brokenLimits map[notice.Incarnation]bool
 }
 
 // target returns the state of a target. The caller holds the lock.
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -129,6 +129,7 @@
 		c.dirty = true
 	}
 	c.gateway.tracker.expireNotices(now, c.isListed)
+	c.gateway.tracker.expireAccounts(now, c.isListed)
 	c.recordUnansweredCrashes()
 	c.elect(now)
 	c.stepLeader(now)
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -175,7 +175,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: read request body: %w", errNoPath, err)
 	}
+	sentAt := clock.Boot()
 	answer, reason := g.ask(ctx, to, q)
+	if reason == nil {
+		g.recordLimit(to.Address, q.Server, sentAt, answer.head.Status, answer.head.Header, a != nil)
+	}
 	if a != nil {
 		a.helper = answer.helper
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -93,6 +93,8 @@
 	Level level.Level `cbor:"17,keyasint,omitempty"`
 	// Slow lists the replicas that daemons found to be slow lately.
 	Slow []dispatch.SlowReplica `cbor:"18,keyasint,omitempty"`
+	// Limits are the limits of servers that changed, and now and then all of them.
+	Limits []notice.Limit `cbor:"19,keyasint,omitempty"`
 }
 
 // A peerSender is a link to another daemon and when it was last used.
@@ -130,6 +132,8 @@
 	// membershipSentAt is when each other daemon was last sent the list of live daemons.
 	membershipSentAt map[string]time.Duration
 	announcements    announcementLog
+	// limitsSent is what each other daemon was sent of the limits of servers.
+	limitsSent map[string]limitsSent
 }
 
 // peerHandler handles the messages of other daemons.
@@ -243,7 +247,7 @@
 // the lock.
 func (g *Gateway) sendStatus(ctx context.Context, h heartbeat, m peerMessage, request bool, now time.Duration) {
 	ps := &g.peers
-	m.Changes = ps.announcements.unsentTo(h.Incarnation)
+	m.Changes, m.Limits = ps.announcements.unsentTo(h.Incarnation), g.limitsFor(h.Incarnation, now)
 	if !ps.membershipDue(h.Incarnation, now) {
 		m.Summary.Daemons = nil
 	}
@@ -365,6 +369,7 @@
 		}
 	}
 	ps.announcements.dropUnlinked(func(incarnation string) bool { _, ok := ps.senders[incarnation]; return ok })
+	maps.DeleteFunc(ps.limitsSent, func(_ string, s limitsSent) bool { return now-s.allAt > 2*limitsInterval })
 	maps.DeleteFunc(ps.membershipSentAt, func(_ string, at time.Duration) bool { return now-at > senderIdleTimeout })
 	for key, s := range ps.lastSent {
 		if now-s.at > time.Minute {
@@ -397,6 +402,7 @@
 	g.applyPeerCrashes(m)
 	g.applyPeerLeaving(m)
 	g.tracker.mergeSlow(m.Slow)
+	g.applyPeerLimits(m)
 	if len(m.Changes) > 0 {
 		g.enqueue(peerChanges{changes: m.Changes})
 	}
@@ -425,7 +431,7 @@
 	if !m.FromHub {
 		g.fillSummary(&answer, m, now)
 	}
-	answer.Changes = ps.announcements.unsentTo(m.From)
+	answer.Changes, answer.Limits = ps.announcements.unsentTo(m.From), g.limitsFor(m.From, now)
 	answer.Crashes, answer.Leaving = g.crashes.recent(time.Now()), g.tracker.leavingToAnnounce()
 	answer.AnsweredParts, answer.Slow = g.crashes.partAnswers(time.Now()), g.tracker.slowReplicas()
 	for topic, offset := range m.Offsets {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -246,7 +246,7 @@
 		if route == detour.Closed {
 			continue
 		}
-		if !g.admitsCold(view, state, s, servers[i].ColdUntil, false) {
+		if !g.admits(view, s, servers[i].ColdUntil, &backoff) {
 			continue
 		}
 		key := [3]int{boolToInt(now.Before(state.suspectUntil)), len(state.attempts), boolToInt(s.FailureDomain != g.settings.FailureDomain || route == detour.Around)}
@@ -255,7 +255,7 @@
 		}
 	}
 	if found {
-		g.admitsCold(view, g.tracker.target(best.Server.ID), best.Server, best.ColdUntil, true)
+		g.charge(view, best.Server, best.ColdUntil)
 	}
 	return best.Server, found, backoff
 }
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -9,8 +9,10 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hawthornrock/hawthornrock/platform"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 // errNotWritten means that no byte of a request was written: its connection was closed, or had received bytes
@@ -150,6 +152,10 @@
 // probes, which may be repeated.
 func (t *serverTransport) sendDirect(req *http.Request) (*http.Response, error) {
 	events := &t.gateway.metrics.events
+	if attemptOf(req.Context()) == nil {
+		t.gateway.chargeOther(req.URL.Host)
+	}
+	sentAt := clock.Boot()
 	resp, err := exchangeOn(t.direct, req)
 	switch {
 	case errors.Is(err, errNotWritten):
@@ -160,6 +166,7 @@
 			return nil, err
 		}
 	default:
+		t.recordLimit(req, resp, sentAt)
 		return resp, err
 	}
 	if req.Context().Err() != nil {
@@ -170,7 +177,17 @@
 	if again.Body, bodyErr = newBody(req); bodyErr != nil {
 		return nil, fmt.Errorf("%w: %w", err, bodyErr)
 	}
-	return exchangeOn(t.fresh, again)
+	sentAt = clock.Boot()
+	resp, err = exchangeOn(t.fresh, again)
+	t.recordLimit(req, resp, sentAt)
+	return resp, err
+}
+
+// recordLimit records what resp, the answer to req, says of the requests that its server takes.
+func (t *serverTransport) recordLimit(req *http.Request, resp *http.Response, sentAt time.Duration) {
+	if resp != nil {
+		t.gateway.recordLimit(req.URL.Host, platform.ServerID(req.Header), sentAt, resp.StatusCode, resp.Header, platform.AttemptID(req.Header) != "")
+	}
 }
 
 // exchangeOn sends req with transport. A connection whose responses can't be told apart is closed.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -137,7 +137,7 @@
 		c.detail = fmt.Sprintf("first token expected in %v", expected.Round(time.Millisecond))
 		return Replica{}, unavailable("overload")
 	}
-	g.admitsCold(view, b.target(replicas[i].Name), replicas[i].Head, replicas[i].ColdUntil, true)
+	g.charge(view, replicas[i].Head, replicas[i].ColdUntil)
 	return replicas[i], nil
 }
 
@@ -154,7 +154,7 @@
 	for _, r := range view.Replicas[servedModel{service: s.call.service.Name, model: model.Name}] {
 		state := b.target(r.Name)
 		route := g.peekRoute(view.destination(r.Head.Address))
-		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, backoff) || !suspects && now.Before(state.suspectUntil) || !g.admitsCold(view, state, r.Head, r.ColdUntil, false) {
+		if route == detour.Closed || slices.Contains(s.tried, r.Name) || !b.admitsWork(r.Head, backoff) || !suspects && now.Before(state.suspectUntil) || !g.admits(view, r.Head, r.ColdUntil, backoff) {
 			continue
 		}
 		other := b.workAtPeers(r.Epoch, now)
