--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -10,11 +10,12 @@
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
-// RequestSize is the size of a request in tokens: of its prompt, and of the answer expected.
+// RequestSize is the size of a request in tokens: of its prompt, of the answer expected, and of the longest answer.
 type RequestSize struct {
-	Model  string
-	Prompt int
-	Answer int
+	Model     string
+	Prompt    int
+	Answer    int
+	MaxAnswer int
 }
 
 // A Load is the work in progress at a replica: requests that are generating (Writing), requests
@@ -89,6 +90,12 @@
 	return time.Duration((prefill + float64(work.Answer)*step) * m.Pace)
 }
 
+// LongestRun returns how long the longest answer to a request takes from its first token on, in a full batch of m.
+func LongestRun(e *site.Engine, m site.Model, work RequestSize) time.Duration {
+	step := float64(e.Step) + float64(e.Slots)*float64(e.StepPerRequest)
+	return time.Duration(float64(work.MaxAnswer) * step * m.Pace)
+}
+
 const (
 	// unweightedShare is the share of the target time up to which an expected first token adds no
 	// weight to the demand of a request.
--- a/gateway/board.go
+++ b/gateway/board.go
@@ -51,9 +51,11 @@
 	epoch int64
 	work  dispatch.RequestSize
 	// engine and model determine how fast a replica generates; unset for servers of plain services.
-	engine      *site.Engine
-	model       site.Model
-	fingerprint quarantine.Fingerprint
+	engine *site.Engine
+	model  site.Model
+	// firstEventTarget is the target of the route for the first event.
+	firstEventTarget time.Duration
+	fingerprint      quarantine.Fingerprint
 	// parts are the shared parts of the prompt; none if an earlier attempt was answered in part.
 	parts       []quarantine.Part
 	sentAt      time.Time
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -42,6 +42,8 @@
 	// it needs a connection of its own.
 	Call      bool `cbor:"9,keyasint,omitempty"`
 	SingleUse bool `cbor:"10,keyasint,omitempty"`
+	// Longest is how long the request may take. Older daemons do not tell it.
+	Longest time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // A detourPart is one message of the answer to a detourRequest: first one with Received, then either
@@ -165,6 +167,9 @@
 		Address: to.Address, Server: platform.ServerID(req.Header), Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
 		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
 	}
+	if a != nil {
+		q.Longest = a.longest(ctx)
+	}
 	var (
 		body io.Reader
 		err  error
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -186,6 +187,9 @@
 	if c.service = view.Configuration.Services[c.route.Service(xxhash.Sum64String(c.request.Attempt))]; c.service == nil {
 		return unavailable("no_service")
 	}
+	if !g.canEnd(c.longest()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
+	}
 	c.fingerprint = quarantine.FingerprintOf(c.organisation.Name, c.target, c.body)
 	if verdict, until := g.crashes.verdict(time.Now(), c.fingerprint); verdict == quarantine.Convicted {
 		c.detail = "fingerprint " + formatFingerprint(c.fingerprint)
@@ -209,6 +213,41 @@
 	}
 }
 
+// longest returns how long c may take.
+func (c *call) longest() time.Duration {
+	left := time.Until(c.deadline)
+	if c.service.Engine == nil {
+		return left
+	}
+	model, _ := c.service.Engine.Model(c.request.Size.Model)
+	return longestRun(c.service.Engine, model, c.request.Size, c.route.Target, left)
+}
+
+// longest returns how long a may take, under the context of its call.
+func (a *attempt) longest(ctx context.Context) time.Duration {
+	left := time.Duration(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	if a.engine == nil {
+		return left
+	}
+	return longestRun(a.engine, a.model, a.work, a.firstEventTarget, left)
+}
+
+// longestRun returns how long a request with a target for its first token may take: the time that is left, or until the
+// longest answer of its size has ended if that is sooner.
+func longestRun(e *site.Engine, m site.Model, size dispatch.RequestSize, target, left time.Duration) time.Duration {
+	if size.MaxAnswer <= 0 || m.Size == 0 {
+		return left
+	}
+	return min(left, time.Duration(overloadFactor*float64(target))+time.Duration(runMargin*float64(dispatch.LongestRun(e, m, size))))
+}
+
+// runMargin is the multiple of the published time of an answer that one may take, with prompts of other requests read
+// in between.
+const runMargin = 1.5
+
 // readBody reads the whole body of r, so that it can be resent.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
 	if r.ContentLength == 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,8 +69,10 @@
 	// stopping ends, by stopCalls, shortly before the connections of callers are closed.
 	stopping  context.Context //nolint:containedctx // It ends with the drain, which no caller of a method waits for.
 	stopCalls context.CancelCauseFunc
-	// acceptsUntil is the time, on the boot clock, until which a draining daemon accepts requests.
+	// acceptsUntil is the time, on the boot clock, until which a draining daemon accepts requests, and endsCallsAt when
+	// it ends those that are under way.
 	acceptsUntil atomic.Int64
+	endsCallsAt  atomic.Int64
 	// term is the term in which this daemon leads, zero if it does not; lastTerm is the last term
 	// in which it led.
 	term          atomic.Int64
@@ -214,6 +216,7 @@
 	start := clock.Boot()
 	end := g.bounds().Grace - drainMargin
 	g.acceptsUntil.Store(int64(start + min(drainAcceptPeriod, end/2)))
+	g.endsCallsAt.Store(int64(start + end - drainAnswerTime))
 	g.leaving.Store(true)
 	g.logger.Info().Str("event", "drain").Int("in_flight", g.tracker.requestsInFlight()).Msg("draining: directing callers to other daemons")
 	g.enqueue(tick{})
@@ -244,6 +247,11 @@
 	return !g.leaving.Load() || clock.Boot() < time.Duration(g.acceptsUntil.Load())
 }
 
+// canEnd returns whether a request that may take as long as longest can end before this daemon stops.
+func (g *Gateway) canEnd(longest time.Duration) bool {
+	return !g.leaving.Load() || clock.Boot()+longest <= time.Duration(g.endsCallsAt.Load())
+}
+
 // startTasks starts the goroutines that feed the control state.
 func (g *Gateway) startTasks(ctx context.Context) {
 	g.tasks.Go(ctx, "orders", g.work.Reap)
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -88,6 +88,9 @@
 	if !q.Call {
 		return notRefused
 	}
+	if !g.canEnd(q.Longest) {
+		return refusedBusy
+	}
 	if server.Draining || view.DomainsOut[server.FailureDomain] || g.tracker.isLeaving(server) || g.tracker.isBackingOff(server) {
 		return refusedServer
 	}
--- a/gateway/race.go
+++ b/gateway/race.go
@@ -98,7 +98,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	run := &streamRun{number: s.race.Start(), replica: replica, lastEventID: s.lastEventID, emptyIsEnd: s.endedWithoutEvents, written: make(chan error, 1)}
 	a := &attempt{
-		target: replica.Name, address: replica.Head.Address, epoch: replica.Epoch, work: c.request.Size, engine: c.service.Engine, model: replica.Model,
+		target: replica.Name, address: replica.Head.Address, epoch: replica.Epoch, work: c.request.Size, engine: c.service.Engine, model: replica.Model, firstEventTarget: c.route.Target,
 		fingerprint: c.fingerprint, sentAt: time.Now(), resentAfterCrash: c.crashes.Load() > 0, cancel: cancel,
 	}
 	a.lastEventAt = a.sentAt
