--- a/coordination/formation/bulk_test.go
+++ b/coordination/formation/bulk_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
 // TestOrdersOfALargeFleet guards against a leader that sends orders to hundreds of servers at once, which leaves no
@@ -31,6 +32,12 @@
 			}
 			sim.run(8 * time.Second)
 			require.Equal(t, map[string]int{"large": 25, "small": 50}, sim.open())
+			ordered := make(map[string]bool)
+			for _, o := range sim.orders {
+				member := sim.actual[o.Server].Member.State != site.Unassigned
+				require.False(t, o.Action == formation.Stage && member && !ordered[o.Server], "server %s has to load a model before it may join", o.Server)
+				ordered[o.Server] = true
+			}
 			bulk := make(map[time.Duration]int)
 			for i, o := range sim.orders {
 				if o.Action == formation.Join || o.Action == formation.Stage {
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -105,6 +105,7 @@
 	for _, m := range models {
 		if s.bulk+m.Size > max(maxBulkOrders, m.Size) {
 			// Its members would be ordered to join only later.
+			s.formsMore = true
 			return false
 		}
 		top := models[0]
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -200,13 +200,19 @@
 	s.reconcileReplicas()
 	s.reconcileHeld()
 	s.collectIdle()
-	if s.listSettled() {
+	settled := s.listSettled()
+	if settled {
 		s.formSuccessors()
 		s.formReplicas()
-		s.retireReplicas()
-		s.replaceSlowMembers()
 	}
-	s.stageModels()
+	if !s.formsMore {
+		// The idle servers are those that are left over.
+		if settled {
+			s.retireReplicas()
+			s.replaceSlowMembers()
+		}
+		s.stageModels()
+	}
 	s.forget()
 	return s.orders
 }
@@ -229,8 +235,10 @@
 	idle          map[string][]site.Server
 	replicaCount  map[string]int
 	orders        []Order
-	// bulk is the number of orders to join or stage among them.
-	bulk int
+	// bulk is the number of orders to join or stage among them. formsMore means that more replicas could be formed, in a
+	// later step.
+	bulk      int
+	formsMore bool
 }
 
 // maxBulkOrders bounds the orders to join or stage in one step. A leader that sends an order to each of hundreds of
--- a/coordination/formation/slow_test.go
+++ b/coordination/formation/slow_test.go
@@ -123,6 +123,20 @@
 	require.InDelta(t, 3+1.0/3, sim.capacity()["large"], 0.01)
 }
 
+// TestSlowServersAreUsedLast guards against a replica that is formed with a slow server while a sound one stands by.
+func TestSlowServersAreUsedLast(t *testing.T) {
+	for _, slow := range []string{"s0-0", "s0-1", "s0-2"} {
+		t.Run(slow, func(t *testing.T) {
+			sim := newSimulation(t, 1, 3)
+			sim.stageIdle("small")
+			sim.fleet.TrafficStarted, sim.fleet.Pace = true, map[string]float64{slow: 4}
+			sim.run(4 * time.Second)
+			require.Equal(t, map[string]int{"small": 1}, sim.open())
+			require.Equal(t, site.Unassigned, sim.actual[slow].Member.State)
+		})
+	}
+}
+
 // TestSlowServersComeBack guards against replicas that are closed back and forth when servers are slow for a while:
 // once for the slow members, and not again when they have recovered.
 func TestSlowServersComeBack(t *testing.T) {
