--- a/gateway/account.go
+++ b/gateway/account.go
@@ -75,33 +75,48 @@
 	g.charge(view, server, 0)
 }
 
-// recordLimit records what an answer of the server at address, to a request that was sent at sentAt, says of the
-// requests that the server takes.
-func (g *Gateway) recordLimit(address, id string, sentAt time.Duration, status int, h http.Header, call bool) {
+// A limitAnswer is what an answer of a server, to a request that was sent at sentAt, says of the requests that the server
+// takes: the limit that it names, or the error of one that is none.
+type limitAnswer struct {
+	sentAt    time.Duration
+	perSecond float64
+	named     bool
+	err       error
+	// call means that the request was one of a caller. Answers to orders and probes need not name a limit.
+	call bool
+}
+
+// decodeLimit returns what an answer with the given headers says of the requests that its server takes.
+func decodeLimit(sentAt time.Duration, h http.Header, call bool) limitAnswer {
+	a := limitAnswer{sentAt: sentAt, call: call}
+	a.perSecond, a.named, a.err = platform.DecodeLimit(h)
+	return a
+}
+
+// recordLimit records what an answer of the server at address says, if that is the one with the given id or none is given.
+func (g *Gateway) recordLimit(address, id string, a limitAnswer) {
 	server, ok := g.view.Load().Servers[address]
-	if !ok || id != "" && server.ID != id || status == http.StatusMisdirectedRequest {
+	if !ok || id != "" && server.ID != id {
 		return
 	}
-	limit, named, err := platform.DecodeLimit(h)
 	now, incarnation := clock.Boot(), incarnationOf(server)
 	b := &g.tracker
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
 	switch {
-	case err != nil:
-		g.logBrokenLimit(incarnation, err)
-	case named:
-		changed = b.limits.Named(now, sentAt, incarnation, limit)
-	case call:
-		// Answers to orders and probes need not name it.
-		changed = b.limits.NotNamed(now, sentAt, incarnation)
+	case a.err != nil:
+		g.logBrokenLimit(incarnation, a.err)
+	case a.named:
+		changed = b.limits.Named(now, a.sentAt, incarnation, a.perSecond)
+	case a.call:
+		changed = b.limits.NotNamed(now, a.sentAt, incarnation)
 	}
 	if !changed {
 		return
 	}
 	g.metrics.events.Add("limits_changed", 1)
-	g.logger.Info().Str("event", "server_limit").Str("server", server.ID).Int64("born", server.Born).Bool("limited", named).Float64("per_second", limit).
+	g.logger.Info().Str("event", "server_limit").Str("server", server.ID).Int64("born", server.Born).Bool("limited", a.named).Float64("per_second", a.perSecond).
 		Msg("server named the requests that it takes, or names them no longer")
 	wake(g.statusNow)
 }
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -45,13 +46,14 @@
 	return chosen, wait
 }
 
-// answer records an answer of a server that names a limit, none if it is empty, to a request sent at sentAt.
-func (c *controller) answer(server, limit string, sentAt time.Duration, call bool) {
-	h := http.Header{}
-	if limit != "" {
-		h.Set("Server-Limit", limit)
-	}
-	c.gateway.recordLimit(server+":1", server, sentAt, http.StatusOK, h, call)
+// name records an answer of a server, to a call that was sent at 0, which names a limit.
+func (c *controller) name(server string, perSecond float64) {
+	c.gateway.recordLimit(server+":1", server, limitAnswer{perSecond: perSecond, named: true, call: true})
+}
+
+// nameNone records an answer of a server to a request that was sent at sentAt, which names no limit.
+func (c *controller) nameNone(server string, sentAt time.Duration, call bool) {
+	c.gateway.recordLimit(server+":1", server, limitAnswer{sentAt: sentAt, call: call})
 }
 
 // TestLimitOfOneServer guards against requests to a server beyond its limit while another one takes them, and against
@@ -62,29 +64,31 @@
 		do          func(c *controller)
 		least, most int
 	}{
-		{"named", func(c *controller) { c.answer("p0", "2", 0, true) }, 0, 2},
-		{"zero", func(c *controller) { c.answer("p0", "0", 0, true) }, 0, 1},
-		{"in_an_answer_to_a_probe", func(c *controller) { c.answer("p0", "2", 0, false) }, 0, 2},
-		{"broken", func(c *controller) { c.answer("p0", "NaN", 0, true) }, 20, 100},
+		{"named", func(c *controller) { c.name("p0", 2) }, 0, 2},
+		{"zero", func(c *controller) { c.name("p0", 0) }, 0, 1},
+		{"in_an_answer_to_a_probe", func(c *controller) { c.gateway.recordLimit("p0:1", "p0", limitAnswer{perSecond: 2, named: true}) }, 0, 2},
+		{"broken", func(c *controller) {
+			c.gateway.recordLimit("p0:1", "p0", limitAnswer{err: errors.New("no number"), call: true})
+		}, 20, 100},
 		{"no_longer_named", func(c *controller) {
-			c.answer("p0", "2", 0, true)
-			c.answer("p0", "", clock.Boot(), true)
+			c.name("p0", 2)
+			c.nameNone("p0", clock.Boot(), true)
 		}, 20, 100},
 		{"not_named_by_a_probe", func(c *controller) {
-			c.answer("p0", "2", 0, true)
-			c.answer("p0", "", clock.Boot(), false)
+			c.name("p0", 2)
+			c.nameNone("p0", clock.Boot(), false)
 		}, 0, 2},
 		{"not_named_by_an_earlier_answer", func(c *controller) {
-			c.answer("p0", "2", 0, true)
-			c.answer("p0", "", 0, true)
+			c.name("p0", 2)
+			c.nameNone("p0", 0, true)
 		}, 0, 2},
 		{"started_again", func(c *controller) {
-			c.answer("p0", "2", 0, true)
+			c.name("p0", 2)
 			c.servers.put(clock.Boot(), 9, site.Server{ID: "p0", Address: "p0:1", Service: "plain", Born: 2}, 0)
 			c.publish(clock.Boot())
 		}, 20, 100},
 		{"of_another_server_at_its_address", func(c *controller) {
-			c.gateway.recordLimit("p0:1", "before", 0, http.StatusOK, http.Header{"Server-Limit": {"2"}}, true)
+			c.gateway.recordLimit("p0:1", "before", limitAnswer{perSecond: 2, named: true, call: true})
 		}, 20, 100},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -102,8 +106,8 @@
 // them.
 func TestLimitOfAllServers(t *testing.T) {
 	c := newLimitedController()
-	c.answer("p0", "1", 0, true)
-	c.answer("p1", "0.5", 0, true)
+	c.name("p0", 1)
+	c.name("p1", 0.5)
 	chosen, wait := c.choices(50)
 	require.LessOrEqual(t, chosen["p0"]+chosen["p1"], 2)
 	require.Positive(t, wait)
@@ -114,7 +118,7 @@
 // reach it through hubs, when they change and now and then all of them, as daemons start later.
 func TestLimitIsTold(t *testing.T) {
 	here, hub, there := newLimitedController("hub", "there"), newLimitedController("here", "there"), newLimitedController("here", "hub")
-	here.answer("p0", "2", 0, true)
+	here.name("p0", 2)
 	told := here.gateway.limitsFor("hub", 0)
 	require.Len(t, told, 1)
 	require.Empty(t, here.gateway.limitsFor("hub", time.Second))
@@ -139,7 +143,7 @@
 	address := worker.Listener.Addr().String()
 	c.servers.put(clock.Boot(), 9, site.Server{ID: "p2", Address: address, Service: "plain", Born: 1}, 0)
 	c.publish(clock.Boot())
-	c.gateway.recordLimit(address, "p2", 0, http.StatusOK, http.Header{"Server-Limit": {"100"}}, true)
+	c.gateway.recordLimit(address, "p2", limitAnswer{perSecond: 100, named: true, call: true})
 	// The account begins with the first use, and then takes some time to allow a request.
 	c.choices(1)
 	time.Sleep(30 * time.Millisecond)
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -182,8 +182,8 @@
 	}
 	sentAt := clock.Boot()
 	answer, reason := g.ask(ctx, to, q)
-	if reason == nil {
-		g.recordLimit(to.Address, q.Server, sentAt, answer.head.Status, answer.head.Header, a != nil)
+	if reason == nil && answer.head.Status != http.StatusMisdirectedRequest {
+		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
 	}
 	if a != nil {
 		a.helper = answer.helper
--- a/gateway/heads_test.go
+++ b/gateway/heads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,14 +17,24 @@
 	"github.com/hawthornrock/hawthornrock/transport/link"
 )
 
-// cutHeads are heads of responses up to where their bodies begin.
-var cutHeads = map[string]string{
-	"length":         "HTTP/1.1 200 OK\r\nX-Hawthornrock-Attempt-Id: a1\r\nX-Hawthornrock-Response-Signature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 120\r\n\r\n",
-	"chunks":         "HTTP/1.1 200 OK\r\nX-Hawthornrock-Attempt-Id: a1\r\nX-Hawthornrock-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-	"neither":        "HTTP/1.1 200 OK\r\nX-Hawthornrock-Attempt-Id: a1\r\nX-Hawthornrock-Response-Signature: s\r\n\r\n",
-	"length_first":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Hawthornrock-Attempt-Id: a1\r\nX-Hawthornrock-Response-Signature: s\r\n\r\n",
-	"line_feeds":     "HTTP/1.1 200 OK\nX-Hawthornrock-Attempt-Id: a1\nX-Hawthornrock-Response-Signature: s\nContent-Length: 0\n\n",
-	"switch_to_link": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
+// cutHeads returns heads of responses to the attempt "a1", up to where their bodies begin.
+func cutHeads(t *testing.T) map[string]string {
+	t.Helper()
+	var (
+		named = http.Header{"Content-Type": {"text/event-stream"}}
+		lines strings.Builder
+	)
+	platform.SetAttemptID(named, "a1")
+	require.NoError(t, named.Write(&lines))
+	begin := "HTTP/1.1 200 OK\r\n" + lines.String()
+	return map[string]string{
+		"length":         begin + "Content-Length: 120\r\n\r\n",
+		"chunks":         begin + "Transfer-Encoding: chunked\r\n\r\n",
+		"neither":        begin + "\r\n",
+		"length_first":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + lines.String() + "\r\n",
+		"line_feeds":     strings.ReplaceAll(begin, "\r", "") + "Content-Length: 0\n\n",
+		"switch_to_link": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
+	}
 }
 
 // startCutServer starts a server that answers each request with the first cut bytes of head and closes the connection, and
@@ -47,7 +58,7 @@
 // looks complete (P76): of calls and streams, on the own path and through another daemon, of orders, reports and the store,
 // and on links between daemons.
 func TestHeadsThatAreCut(t *testing.T) {
-	for name, head := range cutHeads {
+	for name, head := range cutHeads(t) {
 		t.Run(name, func(t *testing.T) {
 			var bytes atomic.Int64
 			address := startCutServer(t, head, &bytes)
@@ -77,7 +88,8 @@
 // requireNoAnswer checks that a call to the server at address has no answer, on either transport and as a helper sends it.
 func requireNoAnswer(t *testing.T, g *Gateway, address string, cut int) {
 	t.Helper()
-	header := http.Header{"X-Hawthornrock-Attempt-Id": {"a1"}, "X-Hawthornrock-Expect-Instance": {"p0"}}
+	header := make(http.Header)
+	platform.SetAttemptID(header, "a1")
 	for name, transport := range map[string]*serverTransport{"pooled": g.pooledTransport, "single_use": g.singleUseTransport} {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/x", newSingleUseBody([]byte("b")))
 		require.NoError(t, err)
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -185,8 +185,9 @@
 
 // recordLimit records what resp, the answer to req, says of the requests that its server takes.
 func (t *serverTransport) recordLimit(req *http.Request, resp *http.Response, sentAt time.Duration) {
-	if resp != nil {
-		t.gateway.recordLimit(req.URL.Host, platform.ServerID(req.Header), sentAt, resp.StatusCode, resp.Header, platform.AttemptID(req.Header) != "")
+	// A misdirected request was answered by another server.
+	if resp != nil && resp.StatusCode != http.StatusMisdirectedRequest {
+		t.gateway.recordLimit(req.URL.Host, platform.ServerID(req.Header), decodeLimit(sentAt, resp.Header, platform.AttemptID(req.Header) != ""))
 	}
 }
 
