--- a/coordination/detour/detour_test.go
+++ b/coordination/detour/detour_test.go
@@ -179,3 +179,23 @@
 	h.Pause(5*time.Second, "b", "south")
 	require.Equal(t, map[string]bool{"a": true}, choose(&h, 5*time.Second), "a leaving daemon is better than none")
 }
+
+// TestPresumptionIsTested guards against a daemon that goes around all paths to a failure domain although only two are lost
+// (P56): both are found lost before another connection there, and none is opened any more, since all are avoided.
+func TestPresumptionIsTested(t *testing.T) {
+	none := func(time.Duration) time.Duration { return 0 }
+	var p detour.Paths
+	a, b, c := detour.Server{Address: "a", FailureDomain: "z"}, detour.Server{Address: "b", FailureDomain: "z"}, detour.Server{Address: "c", FailureDomain: "z"}
+	for _, s := range []detour.Server{a, b} {
+		p.Lost(0, s)
+		p.Reached(0, s)
+	}
+	require.Equal(t, detour.Around, p.Use(0, c))
+	require.Equal(t, c, p.DueTests(time.Second, none)[0])
+	require.NotContains(t, p.DueTests(1200*time.Millisecond, none), c, "tested again at once")
+	require.Contains(t, p.DueTests(1600*time.Millisecond, none), c)
+	p.Connected(1700*time.Millisecond, c)
+	require.Equal(t, detour.Direct, p.Route(1700*time.Millisecond, c))
+	require.Equal(t, detour.Around, p.Route(1700*time.Millisecond, a))
+	require.NotContains(t, p.DueTests(3*time.Second, none), c)
+}
--- a/coordination/detour/paths.go
+++ b/coordination/detour/paths.go
@@ -67,14 +67,16 @@
 // no path. It is not safe for concurrent use.
 type Paths struct {
 	paths map[string]*path
-	// connectedAt is when a connection to a server of each failure domain was last opened.
+	// connectedAt is when a connection to a server of each failure domain was last opened, doubtedAt when a path there that
+	// is only presumed lost was last to be tested.
 	connectedAt map[string]time.Duration
+	doubtedAt   map[string]time.Duration
 }
 
 // path returns the state of the path to s.
 func (p *Paths) path(now time.Duration, s Server) *path {
 	if p.paths == nil {
-		p.paths, p.connectedAt = make(map[string]*path), make(map[string]time.Duration)
+		p.paths, p.connectedAt, p.doubtedAt = make(map[string]*path), make(map[string]time.Duration), make(map[string]time.Duration)
 	}
 	state, ok := p.paths[s.Address]
 	if !ok {
@@ -169,21 +171,26 @@
 }
 
 // DueTests returns the servers whose lost paths are due to be tested, with the next test of each
-// scheduled, and forgets the paths that are no longer used. spread returns a random share of a
-// duration, so that the paths of a daemon do not come back at once.
+// scheduled, and forgets the paths that are no longer used. Of the paths to a failure domain that are
+// only presumed lost one is due as well, and comes first: while all of them are avoided, nothing else would
+// show that they work. spread returns a random share of a duration, so that the paths of a daemon do
+// not come back at once.
 func (p *Paths) DueTests(now time.Duration, spread func(time.Duration) time.Duration) []Server {
-	var due []Server
+	var doubted, due []Server
 	for _, address := range slices.Sorted(maps.Keys(p.paths)) {
 		state := p.paths[address]
 		switch {
 		case now-state.usedAt > retention:
 			delete(p.paths, address)
+		case !state.lost && now-p.doubtedAt[state.failureDomain] >= testInterval && p.presumedLost(state.failureDomain):
+			p.doubtedAt[state.failureDomain] = now
+			doubted = append(doubted, Server{Address: address, FailureDomain: state.failureDomain})
 		case state.lost && now >= state.testAt:
 			state.testAt = now + state.interval/2 + spread(state.interval)
 			due = append(due, Server{Address: address, FailureDomain: state.failureDomain})
 		}
 	}
-	return due
+	return append(doubted, due...)
 }
 
 // Forget drops the state of the path to a server that is gone.
