--- a/gateway/board.go
+++ b/gateway/board.go
@@ -411,6 +411,16 @@
 	return b.slow.Recent(clock.Boot())
 }
 
+// slowestRatio returns the factor by which the slowest replica is slower than published, 1 if none was found to be slow
+// lately.
+func (b *attemptTracker) slowestRatio() float64 {
+	slowest := 1.0
+	for _, r := range b.slowReplicas() {
+		slowest = max(slowest, r.Ratio)
+	}
+	return slowest
+}
+
 // isSilentSince returns whether a has had no event since a time.
 func (b *attemptTracker) isSilentSince(a *attempt, since time.Time) bool {
 	b.mu.Lock()
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -168,7 +168,7 @@
 		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
 	}
 	if a != nil {
-		q.Longest = a.longest(ctx)
+		q.Longest = a.longest(ctx, g.tracker.slowestRatio())
 	}
 	var (
 		body io.Reader
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -187,7 +187,7 @@
 	if c.service = view.Configuration.Services[c.route.Service(xxhash.Sum64String(c.request.Attempt))]; c.service == nil {
 		return unavailable("no_service")
 	}
-	if !g.canEnd(c.longest()) {
+	if !g.canEnd(c.longest(g.tracker.slowestRatio())) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
 	}
 	c.fingerprint = quarantine.FingerprintOf(c.organisation.Name, c.target, c.body)
@@ -213,18 +213,19 @@
 	}
 }
 
-// longest returns how long c may take.
-func (c *call) longest() time.Duration {
+// longest returns how long c may take at a replica that is slower than published by the factor slowdown.
+func (c *call) longest(slowdown float64) time.Duration {
 	left := time.Until(c.deadline)
 	if c.service.Engine == nil {
 		return left
 	}
 	model, _ := c.service.Engine.Model(c.request.Size.Model)
-	return longestRun(c.service.Engine, model, c.request.Size, c.route.Target, left)
+	return longestRun(c.service.Engine, model, c.request.Size, slowdown, c.route.Target, left)
 }
 
-// longest returns how long a may take, under the context of its call.
-func (a *attempt) longest(ctx context.Context) time.Duration {
+// longest returns how long a may take at a replica that is slower than published by the factor slowdown, under the context of
+// its call.
+func (a *attempt) longest(ctx context.Context, slowdown float64) time.Duration {
 	left := time.Duration(0)
 	if deadline, ok := ctx.Deadline(); ok {
 		left = time.Until(deadline)
@@ -232,16 +233,16 @@
 	if a.engine == nil {
 		return left
 	}
-	return longestRun(a.engine, a.model, a.work, a.firstEventTarget, left)
+	return longestRun(a.engine, a.model, a.work, slowdown, a.firstEventTarget, left)
 }
 
 // longestRun returns how long a request with a target for its first token may take: the time that is left, or until the
 // longest answer of its size has ended if that is sooner.
-func longestRun(e *site.Engine, m site.Model, size dispatch.RequestSize, target, left time.Duration) time.Duration {
+func longestRun(e *site.Engine, m site.Model, size dispatch.RequestSize, slowdown float64, target, left time.Duration) time.Duration {
 	if size.MaxAnswer <= 0 || m.Size == 0 {
 		return left
 	}
-	return min(left, time.Duration(overloadFactor*float64(target))+time.Duration(runMargin*float64(dispatch.LongestRun(e, m, size))))
+	return min(left, time.Duration(overloadFactor*float64(target))+time.Duration(max(runMargin, slowdown)*float64(dispatch.LongestRun(e, m, size))))
 }
 
 // runMargin is the multiple of the published time of an answer that one may take, with prompts of other requests read
