--- a/coordination/detour/paths.go
+++ b/coordination/detour/paths.go
@@ -176,13 +176,22 @@
 // show that they work. spread returns a random share of a duration, so that the paths of a daemon do
 // not come back at once.
 func (p *Paths) DueTests(now time.Duration, spread func(time.Duration) time.Duration) []Server {
-	var doubted, due []Server
+	var (
+		doubted, due []Server
+		presumed     = make(map[string]bool)
+	)
 	for _, address := range slices.Sorted(maps.Keys(p.paths)) {
 		state := p.paths[address]
 		switch {
 		case now-state.usedAt > retention:
 			delete(p.paths, address)
-		case !state.lost && now-p.doubtedAt[state.failureDomain] >= testInterval && p.presumedLost(state.failureDomain):
+		case !state.lost && now-p.doubtedAt[state.failureDomain] >= testInterval:
+			if _, known := presumed[state.failureDomain]; !known {
+				presumed[state.failureDomain] = p.presumedLost(state.failureDomain)
+			}
+			if !presumed[state.failureDomain] {
+				continue
+			}
 			p.doubtedAt[state.failureDomain] = now
 			doubted = append(doubted, Server{Address: address, FailureDomain: state.failureDomain})
 		case state.lost && now >= state.testAt:
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -187,7 +187,7 @@
 	if c.service = view.Configuration.Services[c.route.Service(xxhash.Sum64String(c.request.Attempt))]; c.service == nil {
 		return unavailable("no_service")
 	}
-	if !g.canEnd(c.longest(g.tracker.slowestRatio())) {
+	if g.leaving.Load() && !g.canEnd(c.longest(g.tracker.slowestRatio())) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
 	}
 	c.fingerprint = quarantine.FingerprintOf(c.organisation.Name, c.target, c.body)
