--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -85,9 +85,11 @@
 				g.enqueue(topicReadFailure{topic: topic, err: err})
 			}
 			failures++
+			g.recordRead(topic, err)
 			clock.Sleep(ctx, g.retryBackoff(failures))
 			continue
 		}
+		g.recordRead(topic, nil)
 		expired, failures = false, 0
 		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent, Records: relayRecords(topic, page)}
 		g.peers.mu.Lock()
@@ -208,6 +210,9 @@
 	t := g.peers.topic(topic)
 	fresh, ok := t.Unseen(update)
 	if !ok {
+		if update.Whole {
+			g.metrics.events.Add("listings_dropped", 1)
+		}
 		return
 	}
 	sincePrevious := update.ReadAt - t.ReadAt()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -122,6 +122,13 @@
 	// hubStale means that the hub answered without updates.
 	hubStale     bool
 	lastUpdateAt time.Duration
+	// missingTopics are the topics that the last answer of a hub lacked, and feeds is what is known of this daemon's
+	// own reads of each topic.
+	missingTopics []string
+	feeds         map[string]*topicFeed
+	// hubTurns is the number of turns to another hub since the last log line about one, at hubLostLoggedAt.
+	hubTurns        int
+	hubLostLoggedAt time.Duration
 	// lastAnswerAt is when a hub last answered, with updates or without. storeReadAt is when this
 	// daemon itself last read the operators' topic.
 	lastAnswerAt time.Duration
@@ -296,8 +303,7 @@
 		ps.hub, ps.followedSince, ps.hubStale = order[0], now, false
 	case ps.hubStale || now-max(ps.followedSince, ps.lastUpdateAt) > hubTimeout:
 		next := order[(at+1)%len(order)]
-		line := withAge(g.logger.Warn().Str("event", "hub_lost").Str("hub", ps.hub).Str("next", next), "silent", now, ps.lastAnswerAt)
-		withAge(line, "no_news", now, ps.lastUpdateAt).Msg("hub sends no updates; following the next one")
+		g.logHubLost(next, now)
 		ps.hub, ps.followedSince, ps.hubStale = next, now, false
 	case at > 0 && now-ps.followedSince > hubFailbackDelay:
 		ps.hub, ps.followedSince = order[0], now
@@ -435,7 +441,9 @@
 	answer.Crashes, answer.Leaving = g.crashes.recent(time.Now()), g.tracker.leavingToAnnounce()
 	answer.AnsweredParts, answer.Slow = g.crashes.partAnswers(time.Now()), g.tracker.slowReplicas()
 	for topic, offset := range m.Offsets {
-		if update, ok := ps.updatesFor(m.From, topic, offset, now); ok {
+		update, ok := ps.updatesFor(m.From, topic, offset, now)
+		g.recordFeed(topic, ok, now)
+		if ok {
 			update.ReadAt -= now
 			answer.Updates[topic] = update
 		}
@@ -486,6 +494,7 @@
 		g.enqueue(peerStatus{daemons: m.Summary.Daemons, summary: m.Summary})
 	}
 	ps.lastAnswerAt = now
+	g.recordMissingTopics(m)
 	if len(m.Updates) == len(followedTopics) {
 		ps.lastUpdateAt = now
 	} else if h, ok := g.view.Load().peer(ps.hub); ok && h.Incarnation == m.From {
