--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -49,7 +50,7 @@
 	for n := range int64(50) {
 		hub.Apply(relay.Update{Records: []relay.Record{{Key: "config", Value: []byte{1}, Offset: n}}, End: n + 1})
 	}
-	update, ok := hub.Since(10)
+	update, ok := hub.Since(0, 10)
 	require.True(t, ok)
 	require.Len(t, update.Records, 1)
 	require.Equal(t, int64(49), update.Records[0].Offset)
@@ -85,17 +86,17 @@
 			if !rapid.Bool().Draw(t, "asked") {
 				continue
 			}
-			update, ok := hub.Since(have)
+			update, ok := hub.Since(0, have)
 			require.True(t, ok)
 			if update, ok = follower.Unseen(update); ok && rapid.Bool().Draw(t, "arrived") {
 				follower.Apply(update)
 			}
 			have = follower.End()
 		}
-		update, _ := hub.Since(follower.End())
+		update, _ := hub.Since(0, follower.End())
 		update, _ = follower.Unseen(update)
 		follower.Apply(update)
-		all, _ := follower.Since(-1)
+		all, _ := follower.Since(0, -1)
 		got := make(map[string]string)
 		for _, r := range all.Records {
 			got[r.Key] = string(r.Value)
@@ -107,7 +108,7 @@
 	for n := range int64(20) {
 		hub.Apply(relay.Update{From: n + 1, Records: []relay.Record{{Key: "s", Value: []byte("x"), Offset: n + 1}}, End: n + 2})
 	}
-	update, _ := hub.Since(1)
+	update, _ := hub.Since(0, 1)
 	require.Empty(t, update.Records, "nothing new is passed on")
 	require.Equal(t, int64(21), update.End)
 }
@@ -128,13 +129,13 @@
 			hub := relay.Topic{Equal: func(_ string, a, b []byte) bool { return bytes.Equal(a, b) }}
 			hub.Apply(relay.Update{Whole: true, Records: []relay.Record{{Key: "s", Value: []byte("x")}}, End: 1, ReadAt: time.Second})
 			var follower relay.Topic
-			update, _ := hub.Since(-1)
+			update, _ := hub.Since(0, -1)
 			follower.Apply(update)
 			update, ok := hub.Unseen(relay.Update{From: 1, Records: append(tc.last, relay.Record{Key: "s", Offset: 2}), End: 3, ReadAt: 5 * time.Second})
 			require.True(t, ok)
 			require.Equal(t, tc.want, update.Records[len(update.Records)-1].Idle)
 			hub.Apply(update)
-			update, _ = hub.Since(1)
+			update, _ = hub.Since(0, 1)
 			update, ok = follower.Unseen(update)
 			require.True(t, ok)
 			require.Equal(t, tc.want, update.Records[0].Idle)
@@ -227,7 +228,7 @@
 			n.End = offset
 			hub.Apply(n)
 			if rapid.Bool().Draw(t, "asked") {
-				update, ok := hub.Since(have)
+				update, ok := hub.Since(0, have)
 				require.True(t, ok)
 				// Some updates are lost in transit.
 				if update, ok = follower.Unseen(update); ok && rapid.Bool().Draw(t, "arrived") {
@@ -238,13 +239,108 @@
 				have = rapid.SampledFrom([]int64{follower.End(), update.End}).Draw(t, "have")
 			}
 		}
-		update, _ := hub.Since(follower.End())
+		update, _ := hub.Since(0, follower.End())
 		update, _ = follower.Unseen(update)
 		follower.Apply(update)
-		all, _ := follower.Since(-1)
+		all, _ := follower.Since(0, -1)
 		require.Len(t, all.Records, len(truth))
 		for _, r := range all.Records {
 			require.Equal(t, truth[r.Key], r.Offset, "key %s", r.Key)
 		}
 	})
 }
+
+// TestTopicsOverEras guards against a copy of a topic that mixes two eras of the store: it comes back from an older copy at
+// any moment, and gives offsets out again. Updates are lost, arrive late, or come from a hub that is still in an earlier
+// era.
+func TestTopicsOverEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			hub, follower relay.Topic
+			records       []relay.Record
+			era           = int64(1)
+			late          []relay.Update
+			readAt        time.Duration
+		)
+		read := func() {
+			readAt++
+			u := relay.Update{Era: era, From: hub.End(), End: int64(len(records)), ReadAt: readAt}
+			if u.Whole = hub.End() < 0 || hub.Era() != era; u.Whole {
+				u.Records = newest(records)
+			} else {
+				u.Records = slices.Clone(records[hub.End():])
+			}
+			if fresh, ok := hub.Unseen(u); ok {
+				hub.Apply(fresh)
+			}
+		}
+		receive := func(u relay.Update) {
+			if fresh, ok := follower.Unseen(u); ok {
+				follower.Apply(fresh)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				r := relay.Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Offset: int64(len(records))}
+				if rapid.Bool().Draw(t, "kept") {
+					r.Value = fmt.Appendf(nil, "%d/%d", era, r.Offset)
+				}
+				records = append(records, r)
+			case 1:
+				records, era = slices.Clone(records[:rapid.IntRange(0, len(records)).Draw(t, "copy")]), era+1
+			case 2:
+				read()
+			case 3:
+				if u, ok := hub.Since(follower.Era(), follower.End()); ok {
+					late = append(late, u)
+				}
+			case 4:
+				if len(late) > 0 {
+					receive(late[rapid.IntRange(0, len(late)-1).Draw(t, "update")])
+				}
+			}
+		}
+		read()
+		u, ok := hub.Since(follower.Era(), follower.End())
+		require.True(t, ok)
+		receive(u)
+		want := newest(records)
+		for name, topic := range map[string]*relay.Topic{"hub": &hub, "follower": &follower} {
+			all, _ := topic.Since(topic.Era(), -1)
+			require.ElementsMatch(t, want, all.Records, "%s in era %d", name, era)
+			require.Equal(t, int64(len(records)), topic.End())
+		}
+	})
+}
+
+// newest returns the newest record of each key.
+func newest(records []relay.Record) []relay.Record {
+	byKey := make(map[string]relay.Record)
+	for _, r := range records {
+		if delete(byKey, r.Key); len(r.Value) > 0 {
+			byKey[r.Key] = r
+		}
+	}
+	return slices.Collect(maps.Values(byKey))
+}
+
+// TestUpdatesWithoutAnEra lists when an update of a build that knows no eras counts.
+func TestUpdatesWithoutAnEra(t *testing.T) {
+	first := relay.Update{Whole: true, End: 5, Era: 1, ReadAt: 1}
+	next := relay.Update{From: 5, End: 6, ReadAt: 2}
+	var topic relay.Topic
+	topic.Apply(first)
+	_, ok := topic.Unseen(next)
+	require.True(t, ok, "the store has not come back from a copy")
+	topic.Apply(relay.Update{Whole: true, End: 3, Era: 2, ReadAt: 3})
+	next.From = 3
+	_, ok = topic.Unseen(next)
+	require.False(t, ok, "its sender may still be in the earlier era")
+	var old relay.Topic
+	old.Apply(relay.Update{Whole: true, End: 5, ReadAt: 1})
+	update, ok := old.Unseen(relay.Update{From: 5, End: 6, Era: 2, ReadAt: 2})
+	require.True(t, ok, "the first update that names an era")
+	old.Apply(update)
+	require.Equal(t, int64(2), old.Era())
+}
--- a/coordination/relay/topic.go
+++ b/coordination/relay/topic.go
@@ -18,13 +18,16 @@
 
 // An Update is the change of a topic from the offset From on. A whole update (Whole) is a
 // snapshot: it holds the newest record of every key. End is the offset after the last record, and
-// ReadAt the time at which the read of the latest record was sent.
+// ReadAt the time at which the read of the latest record was sent. Offsets are those of an era of the store, which
+// begins when the store comes back from a copy: it then gives the offsets after the copy out again. An update of a
+// daemon that knows no eras has none (0).
 type Update struct {
 	Records []Record
 	Whole   bool
 	From    int64
 	End     int64
 	ReadAt  time.Duration
+	Era     int64 `cbor:",omitempty"`
 }
 
 // A Topic is a daemon's copy of one topic. The zero Topic is empty. It is not safe for concurrent
@@ -44,6 +47,9 @@
 	end           int64
 	readAt        time.Duration
 	initialised   bool
+	// era is that of the offsets, and eraRose means that the copy has followed the store into a later era.
+	era     int64
+	eraRose bool
 }
 
 // Apply applies an update to the copy.
@@ -52,6 +58,12 @@
 		t.newest, t.changedOffset, t.lastRead = make(map[string]Record), make(map[string]int64), make(map[string]time.Duration)
 		t.tail, t.tailStart = nil, u.End
 	}
+	if u.Era > t.era {
+		t.eraRose = t.eraRose || t.initialised && t.era != 0
+		if t.era = u.Era; u.Whole {
+			t.end = u.End
+		}
+	}
 	for _, r := range u.Records {
 		t.applyRecord(r, u.ReadAt, !u.Whole)
 	}
@@ -98,9 +110,23 @@
 // ReadAt returns when the read was sent that returned the latest records.
 func (t *Topic) ReadAt() time.Duration { return t.readAt }
 
-// Unseen returns the part of u that t has not applied yet, and whether u is newer than t.
+// Era returns the era of the offsets of the copy.
+func (t *Topic) Era() int64 { return t.era }
+
+// Unseen returns the part of u that t has not applied yet, and whether u is newer than t. Only a snapshot leads to a later
+// era. An update without an era counts as one of the era of t, unless t has been in an earlier one: its sender may still
+// be there.
 func (t *Topic) Unseen(u Update) (Update, bool) {
+	if u.Era == 0 && !t.eraRose {
+		u.Era = t.era
+	}
 	switch {
+	case u.Era < t.era:
+		return u, false
+	case u.Whole && u.Era > t.era:
+		return u, true
+	case u.Era > t.era && t.era != 0:
+		return u, false
 	case u.Whole && t.initialised && u.End < t.end:
 		return u, false
 	case u.Whole:
@@ -109,7 +135,7 @@
 		// The records between t and this update are missing.
 		return u, false
 	}
-	out := Update{End: u.End, ReadAt: u.ReadAt}
+	out := Update{End: u.End, ReadAt: u.ReadAt, Era: u.Era}
 	written := make(map[string]bool)
 	for _, r := range u.Records {
 		if r.Offset < t.end {
@@ -127,14 +153,14 @@
 	return out, u.ReadAt > t.readAt || u.End > t.end
 }
 
-// Since returns the update from offset on: a snapshot if the records from there on are not kept.
-// It returns false before the first snapshot.
-func (t *Topic) Since(offset int64) (Update, bool) {
-	u := Update{From: offset, End: t.end, ReadAt: t.readAt}
+// Since returns the update from an offset of an era on: a snapshot if the records from there on are not kept or the era
+// is another one. An era of 0 is that of a follower that knows no eras. Since returns false before the first snapshot.
+func (t *Topic) Since(era, offset int64) (Update, bool) {
+	u := Update{From: offset, End: t.end, ReadAt: t.readAt, Era: t.era}
 	if !t.initialised {
 		return u, false
 	}
-	if offset < t.tailStart || offset > t.end {
+	if offset < t.tailStart || offset > t.end || era != 0 && era != t.era {
 		u.Whole = true
 		for _, r := range t.newest {
 			u.Records = append(u.Records, r)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -40,8 +40,16 @@
 	// peerSummary is the work of all other daemons.
 	operatorsReadAt time.Duration
 	peerSummary     relay.Summary
-	dirty           bool
-	trafficSeen     bool
+	// storeEra is the era of the store, as far as this daemon knows, and topicEras are those of the records that were
+	// last applied.
+	storeEra  int64
+	topicEras map[string]int64
+	// domainsShown are the failure domains that are out of service according to the store, and heldDomains those for
+	// which the state before the store came back from a copy holds, and until when.
+	domainsShown map[string]bool
+	heldDomains  map[string]time.Duration
+	dirty        bool
+	trafficSeen  bool
 	// services are those of the configuration, and former ones that are in use.
 	services map[string]*site.Service
 }
@@ -77,6 +85,7 @@
 // receive handles one message and publishes a new view if the control state changed.
 func (c *controller) receive(context actor.Context) {
 	now := clock.Boot()
+	c.observeStoreEra(now)
 	switch m := context.Message().(type) {
 	case tick:
 		c.tick(now)
@@ -125,6 +134,7 @@
 	if c.servers.expire(now) || c.expirePeers(now) {
 		c.dirty = true
 	}
+	c.expireHeldDomains(now)
 	if ready := c.canServe(); ready != c.gateway.view.Load().Ready {
 		c.dirty = true
 	}
@@ -153,6 +163,7 @@
 		line.Msg("store topic can be read again")
 	}
 	c.failedTopics[m.topic] = false
+	m.restored = c.observeTopicEra(now, m)
 	switch m.topic {
 	case platform.TopicOperators:
 		c.applyOperatorRecords(now, m)
@@ -172,45 +183,12 @@
 // applyOperatorRecords applies the operators' records: the configuration and the failure domains
 // that are out of service.
 func (c *controller) applyOperatorRecords(now time.Duration, m topicPage) {
-	if m.update.Whole {
-		c.dropUnlistedDomains(m.update)
-	}
 	for _, r := range m.update.Records {
 		if r.Key == platform.ConfigurationKey {
 			c.applyConfiguration(r)
-			continue
-		}
-		domain, ok := platform.DomainOut(r.Key)
-		if !ok {
-			continue
-		}
-		if out := len(r.Value) > 0; out != c.domainsOut[domain] {
-			c.domainsOut = maps.Clone(c.domainsOut)
-			delete(c.domainsOut, domain)
-			if out {
-				c.domainsOut[domain] = true
-			}
-			c.gateway.logger.Info().Str("event", "domain").Str("failure_domain", domain).Bool("out", out).
-				Int64("offset", r.Offset).Dur("age", now-m.update.ReadAt).Msg("operators took a failure domain out of service or put it back")
-			c.dirty = true
-		}
-	}
-}
-
-// dropUnlistedDomains puts failure domains back into service that a complete snapshot does not
-// list.
-func (c *controller) dropUnlistedDomains(update relay.Update) {
-	listed := make(map[string]bool)
-	for _, r := range update.Records {
-		if domain, ok := platform.DomainOut(r.Key); ok {
-			listed[domain] = true
 		}
 	}
-	out := maps.Clone(c.domainsOut)
-	maps.DeleteFunc(out, func(domain string, _ bool) bool { return !listed[domain] })
-	if len(out) != len(c.domainsOut) {
-		c.domainsOut, c.dirty = out, true
-	}
+	c.applyDomains(now, m)
 }
 
 // applyConfiguration puts a configuration in force if it is newer than the current one.
@@ -226,6 +204,10 @@
 		c.gateway.logger.Error().Str("event", "configuration_refused").Int64("offset", r.Offset).Err(err).Msg("configuration cannot be decoded; ignored")
 		return
 	}
+	if c.configuration != nil && next.Version == c.configuration.Version && c.configurationOffset < 0 {
+		c.configurationOffset = r.Offset
+		return
+	}
 	if c.configuration != nil && next.Version <= c.configuration.Version {
 		c.gateway.logger.Warn().Str("event", "configuration_refused").Int64("version", next.Version).
 			Int64("in_force", c.configuration.Version).Msg("configuration is not newer than the one in force; ignored")
@@ -245,7 +227,7 @@
 		c.servers.startGrace(now)
 	}
 	if m.update.Whole {
-		c.servers.retainListed(now, m.update)
+		c.servers.retainListed(now, m.update, m.restored)
 	}
 	for _, r := range m.update.Records {
 		if r.Key == "" {
@@ -263,12 +245,16 @@
 			c.recordBrokenEntry(now, r, err)
 			continue
 		}
+		if m.restored && c.servers.removedBefore(s) {
+			c.gateway.metrics.events.Add("restored_entries_ignored", 1)
+			continue
+		}
 		if err = c.servers.contradicts(s); err != nil {
 			c.recordBrokenEntry(now, r, err)
 			continue
 		}
 		if before, ok := c.servers.replacedMember(s); ok && c.isLeading(now) {
-			c.verifyRun(before, s, r)
+			c.verifyRun(before, s, r, m.update.Era)
 			continue
 		}
 		c.applyServer(now, r.Offset, s)
@@ -374,6 +360,11 @@
 			c.gateway.learnFindings(h)
 		}
 		old, known := c.daemons[r.Key]
+		if m.restored && known {
+			// What is known may be newer, and the daemon soon writes again.
+			c.leadership.candidate.ObserveHeartbeat(now, h.Term, false)
+			continue
+		}
 		c.detectRestart(now, old.Heartbeat, h)
 		if h.Front == c.gateway.settings.Front && h.Incarnation != c.gateway.incarnation {
 			c.gateway.previousSecret.CompareAndSwap(nil, &h.Secret)
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -39,6 +39,10 @@
 	topic         string
 	update        relay.Update
 	sincePrevious time.Duration
+	// endBefore is the end of the copy of the topic before the update. restored means that the update is the first one
+	// after the store came back from a copy.
+	endBefore int64
+	restored  bool
 }
 
 // A topicReadFailure reports that a read of a topic failed.
@@ -72,13 +76,13 @@
 		}
 		sent := clock.Boot()
 		g.peers.mu.Lock()
-		next := g.peers.topic(topic).End()
+		next, era := g.peers.topic(topic).End(), g.peers.topic(topic).Era()
 		g.peers.mu.Unlock()
 		var (
 			page platform.Page
 			err  error
 		)
-		whole := next < 0 || expired
+		whole := next < 0 || expired || era != 0 && g.store.Era() > era
 		if page, err = g.readTopic(ctx, topic, next, wait, whole); err != nil {
 			g.metrics.storeFailures.Add(topic, 1)
 			if expired = errors.Is(err, platform.ErrExpired); !expired {
@@ -91,7 +95,11 @@
 		}
 		g.recordRead(topic, nil)
 		expired, failures = false, 0
-		update := relay.Update{Whole: whole, From: next, End: page.End, ReadAt: sent, Records: relayRecords(topic, page)}
+		if !whole && era != 0 && page.Era > era {
+			// The offset was one of the era before, so the records after it are not those that follow the copy.
+			continue
+		}
+		update := relay.Update{Whole: whole, From: next, End: page.End, Era: page.Era, ReadAt: sent, Records: relayRecords(topic, page)}
 		g.peers.mu.Lock()
 		if topic == platform.TopicOperators {
 			g.peers.storeReadAt = clock.Boot()
@@ -215,9 +223,9 @@
 		}
 		return
 	}
-	sincePrevious := update.ReadAt - t.ReadAt()
+	page := topicPage{topic: topic, update: fresh, sincePrevious: update.ReadAt - t.ReadAt(), endBefore: t.End()}
 	t.Apply(fresh)
-	g.enqueue(topicPage{topic: topic, update: fresh, sincePrevious: sincePrevious})
+	g.enqueue(page)
 }
 
 // readTopic reads topic once: the newest record of each key if whole is set, otherwise the records
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -80,8 +80,8 @@
 		for name, update := range m.Updates {
 			if fresh, ok := topic.Unseen(update); ok {
 				topic.Apply(fresh)
-				topic.Since(topic.End())
-				topic.Since(math.MinInt64)
+				topic.Since(0, topic.End())
+				topic.Since(0, math.MinInt64)
 				c.applyServerRecords(now, topicPage{topic: name, update: fresh})
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,12 @@
 	g.stopping, g.stopCalls = context.WithCancelCause(context.Background())
 	g.currentBounds.Store(&s.Bounds)
 	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}, PageTimeout: readTimeout}
+	var badEra sync.Once
+	g.store.BadEra = func(era string) {
+		badEra.Do(func() {
+			g.logger.Warn().Str("event", "bad_era").Str("era", era[:min(len(era), maxLoggedErrorBytes)]).Msg("store names an era that is not a number; the last known one holds")
+		})
+	}
 	g.singleUseTransport = g.newServerTransport(g.dialServer, true)
 	g.pooledTransport = g.newServerTransport(g.dialServer, false)
 	orders := g.newServerTransport(g.dialForOrder, false)
--- a/gateway/heads_test.go
+++ b/gateway/heads_test.go
@@ -73,7 +73,7 @@
 				requireNoAnswer(t, c.gateway, address, cut)
 				_, err := c.gateway.engines.Report(t.Context(), site.Server{ID: "p0", Address: address})
 				require.Error(t, err, "report, cut after %d bytes", cut)
-				_, err = store.End(t.Context(), platform.TopicTerms)
+				_, _, err = store.End(t.Context(), platform.TopicTerms)
 				require.Error(t, err, "store, cut after %d bytes", cut)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -103,7 +103,7 @@
 // readTerms reads the end of the terms topic, which is the number of terms so far.
 func (c *controller) readTerms() {
 	c.callTermStore("terms", func(ctx context.Context) any {
-		end, err := c.gateway.store.End(ctx, platform.TopicTerms)
+		end, _, err := c.gateway.store.End(ctx, platform.TopicTerms)
 		return termsResult{end: end, err: err}
 	})
 }
@@ -113,7 +113,8 @@
 func (c *controller) claimTerm(end int64) {
 	c.callTermStore("claim", func(ctx context.Context) any {
 		sent := clock.Boot()
-		return claimResult{sentAt: sent, err: c.gateway.store.AppendAt(ctx, platform.TopicTerms, end, c.gateway.incarnation)}
+		_, err := c.gateway.store.AppendAt(ctx, platform.TopicTerms, end, c.gateway.incarnation)
+		return claimResult{sentAt: sent, err: err}
 	})
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -95,6 +95,8 @@
 	Slow []dispatch.SlowReplica `cbor:"18,keyasint,omitempty"`
 	// Limits are the limits of servers that changed, and now and then all of them.
 	Limits []notice.Limit `cbor:"19,keyasint,omitempty"`
+	// Eras are the eras of the store that the offsets of Offsets are of, where they are known.
+	Eras map[string]int64 `cbor:"20,keyasint,omitempty"`
 }
 
 // A peerSender is a link to another daemon and when it was last used.
@@ -261,7 +263,14 @@
 	if request {
 		m.PeerAddress, m.Secret, m.Timestamp, m.Offsets = g.settings.Peer, g.secret, now, make(map[string]int64)
 		for _, topic := range followedTopics {
-			m.Offsets[topic] = ps.topic(topic).End()
+			t := ps.topic(topic)
+			m.Offsets[topic] = t.End()
+			if era := t.Era(); era != 0 {
+				if m.Eras == nil {
+					m.Eras = make(map[string]int64)
+				}
+				m.Eras[topic] = era
+			}
 		}
 	}
 	g.sendToPeer(ctx, h.Incarnation, h.Peer, h.Secret, m)
@@ -441,7 +450,7 @@
 	answer.Crashes, answer.Leaving = g.crashes.recent(time.Now()), g.tracker.leavingToAnnounce()
 	answer.AnsweredParts, answer.Slow = g.crashes.partAnswers(time.Now()), g.tracker.slowReplicas()
 	for topic, offset := range m.Offsets {
-		update, ok := ps.updatesFor(m.From, topic, offset, now)
+		update, ok := ps.updatesFor(m.From, topic, m.Eras[topic], offset, now)
 		g.recordFeed(topic, ok, now)
 		if ok {
 			update.ReadAt -= now
@@ -454,25 +463,27 @@
 // A sentUpdate is the last update of a topic that was sent to a follower.
 type sentUpdate struct {
 	end int64
+	era int64
 	at  time.Duration
 }
 
 // resendAfter is how long an update may be in flight to a follower before it is sent again.
 const resendAfter = time.Second
 
-// updatesFor returns the update of topic for a follower that has it up to an offset, without the
-// records that are in flight to it. The caller holds the lock.
-func (ps *peerState) updatesFor(follower, topic string, offset int64, now time.Duration) (relay.Update, bool) {
+// updatesFor returns the update of topic for a follower that has it up to an offset of an era of the store, without
+// the records that are in flight to it. The caller holds the lock.
+func (ps *peerState) updatesFor(follower, topic string, era, offset int64, now time.Duration) (relay.Update, bool) {
 	if ps.lastSent == nil {
 		ps.lastSent = make(map[string]sentUpdate)
 	}
 	key := follower + " " + topic
 	last, ok := ps.lastSent[key]
-	inFlight := ok && offset >= 0 && last.end > offset && now-last.at < resendAfter
+	ahead := last.end > offset && (era == 0 || last.era == era) || era != 0 && last.era > era
+	inFlight := ok && offset >= 0 && ahead && now-last.at < resendAfter
 	if inFlight {
-		offset = last.end
+		era, offset = last.era, last.end
 	}
-	update, ok := ps.topic(topic).Since(offset)
+	update, ok := ps.topic(topic).Since(era, offset)
 	maxAge := maxHubReadAge
 	if !ps.isReader {
 		maxAge = maxForwardedReadAge
@@ -481,7 +492,7 @@
 		return update, false
 	}
 	if len(update.Records) > 0 || !inFlight {
-		ps.lastSent[key] = sentUpdate{end: update.End, at: now}
+		ps.lastSent[key] = sentUpdate{end: update.End, era: update.Era, at: now}
 	}
 	return update, true
 }
@@ -505,6 +516,7 @@
 		// The hub received the request after its timestamp was taken, so the sum is never later
 		// than the actual time of the read.
 		update.ReadAt += m.EchoTimestamp
+		g.store.ObserveEra(update.Era)
 		g.applyTopicUpdate(topic, update)
 	}
 }
--- a/gateway/review_test.go
+++ b/gateway/review_test.go
@@ -64,7 +64,7 @@
 	var r roster
 	s := site.Server{ID: "s", Address: "a", Born: 1, Member: site.Membership{Group: "small/1/1", Epoch: 1, State: site.Ready}}
 	r.put(time.Second, 1, s, 0)
-	r.retainListed(3*time.Second, wholeUpdate(9))
+	r.retainListed(3*time.Second, wholeUpdate(9), false)
 	require.Contains(t, r.entries, "s")
 }
 
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -58,8 +58,9 @@
 	refused   bool
 	// older is a later entry that seems older than this one, nil if there is none.
 	older *olderEntry
-	// overwritten means that another writer has overwritten the entry since the server wrote it.
-	overwritten bool
+	// lost means that the entry was lost since the server wrote it: another writer has overwritten it, or the store
+	// came back from a copy without it.
+	lost bool
 }
 
 // An olderEntry is an entry of an earlier start or with a lower sequence number than the one before. It was
@@ -70,15 +71,22 @@
 	seenAt time.Duration
 }
 
+// A removedEntry is the last entry of a server that was removed, and the offset of the removal.
+type removedEntry struct {
+	offset   int64
+	born     int64
+	sequence int64
+}
+
 // isUsable returns whether the server may be a member of a replica: it is listed, cut off from the store,
-// or its entry is overwritten.
-func (e serverEntry) isUsable() bool { return e.expiresAt == 0 || e.cutOff || e.overwritten }
+// or its entry was lost.
+func (e serverEntry) isUsable() bool { return e.expiresAt == 0 || e.cutOff || e.lost }
 
 // A roster is this daemon's copy of the list of servers. The zero roster is empty.
 type roster struct {
-	entries        map[string]serverEntry
-	removedOffsets map[string]int64
-	graceUntil     time.Duration
+	entries    map[string]serverEntry
+	removed    map[string]removedEntry
+	graceUntil time.Duration
 	// claimsChanged means that a server was seen in another place in a replica than before.
 	claimsChanged bool
 }
@@ -92,10 +100,10 @@
 func (r *roster) put(now time.Duration, offset int64, s site.Server, coldFor time.Duration) bool {
 	if r.entries == nil {
 		r.entries = make(map[string]serverEntry)
-		r.removedOffsets = make(map[string]int64)
+		r.removed = make(map[string]removedEntry)
 	}
 	old, known := r.entries[s.ID]
-	if known && offset <= old.offset || offset < r.removedOffsets[s.ID] {
+	if known && offset <= old.offset || offset < r.removed[s.ID].offset {
 		return false
 	}
 	if known && (s.Born < old.server.Born || s.Born == old.server.Born && s.Sequence < old.server.Sequence) {
@@ -202,8 +210,8 @@
 // isReturning returns whether s is a server whose entry had lapsed or was removed.
 func (r *roster) isReturning(s site.Server) bool {
 	e, known := r.entries[s.ID]
-	_, removed := r.removedOffsets[s.ID]
-	return known && e.expiresAt != 0 && !e.overwritten || !known && removed
+	_, removed := r.removed[s.ID]
+	return known && e.expiresAt != 0 && !e.lost || !known && removed
 }
 
 // overwrite records that another writer has overwritten the entry of a server. The server stays listed as
@@ -214,7 +222,7 @@
 		return
 	}
 	if e.expiresAt == 0 {
-		e.expiresAt, e.overwritten = now+overwrittenTTL, true
+		e.expiresAt, e.lost = now+overwrittenTTL, true
 	}
 	e.offset = record.Offset
 	r.entries[record.Key] = e
@@ -231,19 +239,23 @@
 // the time between two entries of a server, zero if it is not known.
 func (r *roster) remove(now time.Duration, record relay.Record, heartbeat time.Duration) bool {
 	e, ok := r.entries[record.Key]
-	if r.removedOffsets != nil {
-		r.removedOffsets[record.Key] = record.Offset
+	if r.removed != nil {
+		gone := r.removed[record.Key]
+		if gone.offset = record.Offset; ok {
+			gone.born, gone.sequence = e.server.Born, e.server.Sequence
+		}
+		r.removed[record.Key] = gone
 	}
 	if !ok || record.Offset <= e.offset || e.cutOff {
 		return false
 	}
 	if now < r.graceUntil && !e.server.Draining {
-		e.expiresAt, e.overwritten = r.graceUntil, false
+		e.expiresAt, e.lost = r.graceUntil, false
 		r.entries[record.Key] = e
 		return false
 	}
 	if e.lapsedWhileServing(record.Idle, heartbeat) {
-		e.expiresAt, e.cutOff, e.overwritten, e.offset = now+cutOffTTL, true, false, record.Offset
+		e.expiresAt, e.cutOff, e.lost, e.offset = now+cutOffTTL, true, false, record.Offset
 		r.entries[record.Key] = e
 		return true
 	}
@@ -269,14 +281,46 @@
 	return ok && e.cutOff
 }
 
-// retainListed drops the entries that a complete snapshot does not contain.
-func (r *roster) retainListed(now time.Duration, snapshot relay.Update) {
+// startEra forgets the offsets of an earlier era of the store, which say nothing in the new one.
+func (r *roster) startEra() {
+	for id, e := range r.entries {
+		e.offset = beforeAllOffsets
+		if e.older != nil {
+			older := *e.older
+			older.offset = beforeAllOffsets
+			e.older = &older
+		}
+		r.entries[id] = e
+	}
+	for id, gone := range r.removed {
+		gone.offset = beforeAllOffsets
+		r.removed[id] = gone
+	}
+}
+
+// removedBefore returns whether s is an entry that was removed since it was written.
+func (r *roster) removedBefore(s site.Server) bool {
+	gone, ok := r.removed[s.ID]
+	_, listed := r.entries[s.ID]
+	return ok && !listed && s.Born == gone.born && s.Sequence <= gone.sequence
+}
+
+// retainListed drops the entries that a complete snapshot does not contain. If it is the first one after the store came
+// back from a copy, the servers have time to write them again, and are listed until then.
+func (r *roster) retainListed(now time.Duration, snapshot relay.Update, restored bool) {
 	listed := make(map[string]bool, len(snapshot.Records))
 	for _, record := range snapshot.Records {
 		listed[record.Key] = true
 	}
 	for id, e := range r.entries {
-		if !listed[id] {
+		switch {
+		case listed[id]:
+		case restored && !e.server.Draining:
+			if e.expiresAt == 0 {
+				e.expiresAt, e.lost = now+lapsedEntryGrace, true
+				r.entries[id] = e
+			}
+		default:
 			r.remove(now, relay.Record{Key: id, Offset: max(snapshot.End, e.offset+1)}, 0)
 		}
 	}
--- a/gateway/roster_test.go
+++ b/gateway/roster_test.go
@@ -45,7 +45,7 @@
 			r.startGrace(0)
 			r.remove(0, relay.Record{Key: "s", Offset: 12}, 0)
 		}, false, 0},
-		{"not_among_the_newest", func(r *roster) { r.retainListed(0, relay.Update{End: 20}) }, false, 0},
+		{"not_among_the_newest", func(r *roster) { r.retainListed(0, relay.Update{End: 20}, false) }, false, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRosterWithServer()
