--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -280,22 +280,24 @@
 			}
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
-			case 0:
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0, 1:
 				r := relay.Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Offset: int64(len(records))}
 				if rapid.Bool().Draw(t, "kept") {
 					r.Value = fmt.Appendf(nil, "%d/%d", era, r.Offset)
 				}
 				records = append(records, r)
-			case 1:
-				records, era = slices.Clone(records[:rapid.IntRange(0, len(records)).Draw(t, "copy")]), era+1
 			case 2:
+				records, era = slices.Clone(records[:rapid.IntRange(0, len(records)).Draw(t, "copy")]), era+1
+			case 3, 4:
 				read()
-			case 3:
+			case 5, 6:
 				if u, ok := hub.Since(follower.Era(), follower.End()); ok {
-					late = append(late, u)
+					if late = append(late, u); rapid.Bool().Draw(t, "arrived") {
+						receive(u)
+					}
 				}
-			case 4:
+			case 7:
 				if len(late) > 0 {
 					receive(late[rapid.IntRange(0, len(late)-1).Draw(t, "update")])
 				}
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -26,8 +26,10 @@
 		c.gateway.metrics.events.Add("store_eras", 1)
 		c.gateway.logger.Warn().Str("event", "store_era").Int64("from", c.storeEra).Int64("to", era).Int64("term", term).Bool("leads", leads).
 			Msg("store came back from a copy; reading its topics anew")
+		c.leadership.termsKnown = false
 	}
 	c.storeEra = era
+	c.leadership.candidate.ObserveEra(era)
 }
 
 // observeTopicEra records the era of the records of m, and returns whether m is the first snapshot of its topic after the
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -109,3 +109,27 @@
 	}
 	require.Equal(t, int64(13), c.configuration.Version)
 }
+
+// TestClaimInAnotherEra guards against a daemon that leads by a claim that the store accepted in another era than the one
+// that its offset is of: another daemon may lead there.
+func TestClaimInAnotherEra(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		era   int64
+		leads bool
+	}{{"same", 2, true}, {"later", 3, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newController()
+			c.storeEra, c.leadership.claimEra = 2, 2
+			c.leadership.candidate.ObserveEra(2)
+			c.applyTerms(0, termsResult{end: 4, era: 2})
+			c.applyTerms(0, termsResult{end: 9, era: 3})
+			c.applyClaim(time.Second, claimResult{sentAt: time.Second, era: tc.era})
+			term, leads := c.leadership.candidate.Leads(time.Second)
+			require.Equal(t, tc.leads, leads)
+			if leads {
+				require.Equal(t, int64(5), term)
+			}
+		})
+	}
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -14,15 +14,17 @@
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
-// A termsResult is the result of reading the end of the terms topic.
+// A termsResult is the result of reading the end of the terms topic, in an era of the store.
 type termsResult struct {
 	end int64
+	era int64
 	err error
 }
 
-// A claimResult is the result of an attempt to claim a term.
+// A claimResult is the result of an attempt to claim a term, in an era of the store.
 type claimResult struct {
 	sentAt time.Duration
+	era    int64
 	err    error
 }
 
@@ -56,7 +58,9 @@
 	// be made.
 	callPending bool
 	nextCallAt  time.Duration
-	term        int64
+	// claimEra is the era of the store in which the term that is claimed follows the last one.
+	claimEra int64
+	term     int64
 	// unreachedSince is when this daemon first failed to reach a server, on any path, since a server
 	// last answered it; zero if none did. isolatedUntil is until when it claims no term for that.
 	unreachedSince time.Duration
@@ -103,18 +107,19 @@
 // readTerms reads the end of the terms topic, which is the number of terms so far.
 func (c *controller) readTerms() {
 	c.callTermStore("terms", func(ctx context.Context) any {
-		end, _, err := c.gateway.store.End(ctx, platform.TopicTerms)
-		return termsResult{end: end, err: err}
+		end, era, err := c.gateway.store.End(ctx, platform.TopicTerms)
+		return termsResult{end: end, era: era, err: err}
 	})
 }
 
 // claimTerm tries to claim the next term by appending a record to the terms topic at the offset
 // end.
 func (c *controller) claimTerm(end int64) {
+	c.leadership.claimEra = c.storeEra
 	c.callTermStore("claim", func(ctx context.Context) any {
 		sent := clock.Boot()
-		_, err := c.gateway.store.AppendAt(ctx, platform.TopicTerms, end, c.gateway.incarnation)
-		return claimResult{sentAt: sent, err: err}
+		era, err := c.gateway.store.AppendAt(ctx, platform.TopicTerms, end, c.gateway.incarnation)
+		return claimResult{sentAt: sent, era: era, err: err}
 	})
 }
 
@@ -126,6 +131,9 @@
 		c.leadership.nextCallAt = now + retryInterval
 		return
 	}
+	if m.era != c.storeEra {
+		return
+	}
 	c.leadership.termsKnown = true
 	c.leadership.candidate.ObserveEnd(now, m.end)
 }
@@ -136,6 +144,10 @@
 	l.callPending = false
 	var conflict *platform.ConflictError
 	switch {
+	case m.era != l.claimEra && (m.err == nil || errors.As(m.err, &conflict)):
+		// The offset was that of an earlier era. If the claim was accepted there by chance, nobody holds that term.
+		c.gateway.logger.Warn().Str("event", "claim_dropped").Int64("era", m.era).Int64("claim_era", l.claimEra).
+			Msg("claim of a term was answered in another era of the store than the one it was meant for")
 	case m.err == nil:
 		l.candidate.ClaimAccepted(m.sentAt)
 	case errors.As(m.err, &conflict):
