--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -24,7 +24,7 @@
 	incompleteSince time.Duration
 	// unlisted means that the head is missing from the list although its members are listed.
 	unlisted bool
-	// absent means that nothing is at the address of the head any more.
+	// absent means that connections to the address of the head are refused. The head has ended, or is cut off.
 	absent bool
 	// openOrderedAt is when the head was last ordered to open. Without a record of that it is the
 	// start of the term, as the previous leader may have sent such an order until then.
@@ -205,9 +205,9 @@
 	return true
 }
 
-// reconcileHeadless keeps the members of r busy until its head is known not to serve any more:
-// because it is gone, has restarted, or has been without its members for longer than the stall
-// timeout.
+// reconcileHeadless keeps the members of r busy until its head is known not to serve any more: because it has
+// restarted, or has been without its members for longer than the stall timeout. Members of a head that is lost are
+// free once they have left it: it may only be cut off, and serve.
 func (s *step) reconcileHeadless(r *replica) {
 	h := s.head(r.name)
 	h.markIncomplete(s.now)
@@ -216,7 +216,8 @@
 		return
 	}
 	s.awaitClose(r)
-	if s.now-h.incompleteSince < headProbeTime {
+	lost := s.lostHead(r.name)
+	if !lost && s.now-h.incompleteSince < headProbeTime {
 		return
 	}
 	for _, rank := range slices.Sorted(maps.Keys(r.members)) {
@@ -224,7 +225,7 @@
 		if s.fleet.Dead[server.ID] || server.ID == h.server.ID {
 			continue
 		}
-		if _, ok := s.planner.held[server.ID]; !ok {
+		if _, ok := s.planner.held[server.ID]; !ok && !lost {
 			s.planner.held[server.ID] = hold{group: r.name, until: s.now + s.fleet.StallTimeout + holdMargin}
 		}
 		s.orderAction(server, Leave, r.name, r.epoch)
@@ -240,21 +241,29 @@
 // delivery of the orders to leave.
 const holdMargin = time.Second
 
-// knownClosed returns whether the head of group cannot serve any more: it is gone, has restarted,
-// is in another replica, or answered that it closed.
+// lostHead returns whether the head of group has probably ended: connections to it are refused, or it answers no probe and
+// its entry has lapsed. The same is seen of a head that is cut off from the store and from all daemons, but serves.
+func (s *step) lostHead(group string) bool {
+	h, ok := s.planner.heads[group]
+	if !ok || h.server.ID == "" {
+		return false
+	}
+	_, listed := s.fleet.Servers[h.server.ID]
+	return h.absent || s.fleet.Dead[h.server.ID] && !listed
+}
+
+// knownClosed returns whether the head of group cannot serve any more: it has restarted, is in another replica, or
+// answered that it closed.
 func (s *step) knownClosed(group string) bool {
 	h, ok := s.planner.heads[group]
 	if !ok {
 		return false
 	}
 	listed, ok := s.fleet.Servers[h.server.ID]
-	// A server that did not answer but is still listed is alive, and may serve clients that can
-	// reach it.
-	gone := s.fleet.Dead[h.server.ID] && !ok
 	// A head in no replica may join and open this one again by orders that are carried out late.
 	elsewhere := listed.Member.Group != group && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
 	restartedOrMoved := ok && h.server.ID != "" && (listed.Born != h.server.Born || elsewhere)
-	return h.absent || restartedOrMoved || gone || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openOrderedAt && s.now-h.closedAt > closeTime
+	return restartedOrMoved || !h.mayOpenLate(s.now) && h.closedAt > 0 && h.closedAt >= h.openOrderedAt && s.now-h.closedAt > closeTime
 }
 
 // mayReopen returns whether server, which left a replica whose head it was, may join and open it
@@ -290,8 +299,8 @@
 func (s *step) reconcileHeld() {
 	for _, id := range slices.Sorted(maps.Keys(s.planner.held)) {
 		h := s.planner.held[id]
-		_, listed := s.fleet.Servers[id]
-		if !listed || s.now >= h.until || s.knownClosed(h.group) {
+		server, listed := s.fleet.Servers[id]
+		if !listed || s.now >= h.until || s.knownClosed(h.group) || s.lostHead(h.group) && server.Member.Group != h.group {
 			delete(s.planner.held, id)
 			continue
 		}
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -61,6 +61,8 @@
 	retiredAt time.Duration
 	// unansweredJoins are the orders to join that may still be carried out, by server.
 	unansweredJoins map[string]unansweredJoin
+	// left holds the replica that each server last accepted to leave, other than as its head, until the list shows it.
+	left map[string]leftReplica
 	// servingMembers holds the members of each serving replica, by replica name.
 	servingMembers map[string][]string
 	// losses holds, by server, the loss of its replica until the server serves in a replica again.
@@ -97,6 +99,12 @@
 	at    time.Duration
 }
 
+// A leftReplica is a replica that a server has left.
+type leftReplica struct {
+	group string
+	epoch int64
+}
+
 // A formingReplica is a replica that this planner has ordered and that does not serve yet.
 type formingReplica struct {
 	model   string
@@ -114,7 +122,7 @@
 		term: term, termStart: now, forming: make(map[string]*formingReplica), heads: make(map[string]*head),
 		sentOrders: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), serverCountGrewAt: now,
-		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure),
+		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure), left: make(map[string]leftReplica),
 	}
 }
 
@@ -142,6 +150,9 @@
 			h.confirm(o.Server)
 		}
 	}
+	if h, ok := p.heads[o.Group]; o.Action == Leave && a == Accepted && (!ok || h.server.ID != o.Server) {
+		p.left[o.Server] = leftReplica{group: o.Group, epoch: o.Epoch}
+	}
 	switch {
 	case a == Absent:
 		p.recordFailure(now, o.Server)
@@ -196,6 +207,7 @@
 	p.formTime = f.Engine.Form
 	s := &step{planner: p, fleet: f, now: now, idle: make(map[string][]site.Server), replicaCount: make(map[string]int)}
 	s.forgetFailures()
+	s.applyLeft()
 	s.collectReplicas()
 	s.reconcileReplicas()
 	s.reconcileHeld()
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -43,6 +43,23 @@
 	return s.fleet.OutOfService[server.FailureDomain]
 }
 
+// applyLeft takes the servers out of the replicas that they have left, which the list shows only later.
+func (s *step) applyLeft() {
+	if len(s.planner.left) == 0 {
+		return
+	}
+	s.fleet.Servers = maps.Clone(s.fleet.Servers)
+	for id, l := range s.planner.left {
+		server, listed := s.fleet.Servers[id]
+		if !listed || server.Member.Group != l.group || server.Member.Epoch != l.epoch {
+			delete(s.planner.left, id)
+			continue
+		}
+		server.Member = site.Membership{}
+		s.fleet.Servers[id] = server
+	}
+}
+
 // collectReplicas groups the servers by the replica that they report.
 func (s *step) collectReplicas() {
 	s.replicas, s.busy, s.serving = make(map[string]*replica), make(map[string]bool), make(map[string]bool)
