--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -12,10 +12,17 @@
 	"syscall"
 )
 
-// maxAnswerBytes bounds the part of a response body that a client reads.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds the body of a response where the caller names no lower limit.
+	maxAnswerBytes = 16 << 20
+	// maxMessageBytes bounds the part of a body that is kept as the message of an error.
+	maxMessageBytes = 4 << 10
+)
+
+// ErrTooLarge means that the body of a response exceeds its limit. The connection is closed.
+var ErrTooLarge = errors.New("answer is too large")
 
-// A StatusError is a response whose status is not a success. Message is its body.
+// A StatusError is a response whose status is not a success. Message is the beginning of its body.
 type StatusError struct {
 	Status  int
 	Message string
@@ -32,6 +39,11 @@
 
 // CallWith is Call with additional headers.
 func CallWith(ctx context.Context, client *http.Client, method, url string, header http.Header, request, response any) error {
+	return CallWithin(ctx, client, method, url, maxAnswerBytes, header, request, response)
+}
+
+// CallWithin is CallWith for an answer of at most limit bytes.
+func CallWithin(ctx context.Context, client *http.Client, method, url string, limit int64, header http.Header, request, response any) error {
 	var (
 		req  *http.Request
 		resp *http.Response
@@ -47,7 +59,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	return Decode(resp, response)
+	return decode(resp, limit, response)
 }
 
 // Refused returns whether err proves that nothing listens at the called address, so that the request
@@ -64,18 +76,23 @@
 
 // Decode decodes the JSON body of resp into response, or returns a StatusError if resp is not a
 // success.
-func Decode(resp *http.Response, response any) error {
-	var (
-		body []byte
-		err  error
-	)
-	if body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
-		return fmt.Errorf("read answer: %w", err)
-	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		return &StatusError{Status: resp.StatusCode, Message: string(bytes.TrimSpace(body))}
+func Decode(resp *http.Response, response any) error { return decode(resp, maxAnswerBytes, response) }
+
+// decode is Decode for a body of at most limit bytes.
+func decode(resp *http.Response, limit int64, response any) error {
+	failed := resp.StatusCode >= http.StatusMultipleChoices
+	if failed {
+		limit = min(limit, maxMessageBytes)
 	}
-	if response == nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	switch {
+	case failed && (err == nil || int64(len(body)) > limit):
+		return &StatusError{Status: resp.StatusCode, Message: string(bytes.TrimSpace(body[:min(int64(len(body)), limit)]))}
+	case err != nil:
+		return fmt.Errorf("read answer: %w", err)
+	case int64(len(body)) > limit:
+		return fmt.Errorf("status %d, more than %d bytes: %w", resp.StatusCode, limit, ErrTooLarge)
+	case response == nil:
 		return nil
 	}
 	if err = json.Unmarshal(body, response); err != nil {
