--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -104,9 +104,15 @@
 		if topic == platform.TopicOperators {
 			g.peers.storeReadAt = clock.Boot()
 		}
+		if page.Partial {
+			// Later records are unread, so the read confirms nothing as of its time.
+			update.ReadAt = min(sent, g.peers.topic(topic).ReadAt())
+		}
 		g.applyTopicUpdate(topic, update)
 		g.peers.mu.Unlock()
-		clock.Sleep(ctx, g.readInterval(topic, interval))
+		if !page.Partial || page.End <= next {
+			clock.Sleep(ctx, g.readInterval(topic, interval))
+		}
 	}
 	return nil
 }
--- a/gateway/feed_test.go
+++ b/gateway/feed_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"encoding/binary"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -63,3 +65,44 @@
 	require.NoError(t, err)
 	require.Len(t, page.Records, pages)
 }
+
+// TestPartOfAPage guards against a read that ends before the newest record and still confirms the configuration as of its
+// time (CONFIG): pages of the store have a limit, and large configurations follow each other quickly.
+func TestPartOfAPage(t *testing.T) {
+	var (
+		g      *Gateway
+		listed atomic.Int64
+	)
+	topic := func() (end int64, readAt time.Duration) {
+		g.peers.mu.Lock()
+		defer g.peers.mu.Unlock()
+		t := g.peers.topic(platform.TopicOperators)
+		return t.End(), t.ReadAt()
+	}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/v1/log-newest":
+			_, _ = w.Write([]byte(`{"items":[],"has_more":false,"end_offset":5}`))
+		case r.URL.Query().Get("from_key") == "5":
+			_, readAt := topic()
+			listed.Store(int64(readAt))
+			page := append(binary.BigEndian.AppendUint64(nil, 8), make([]byte, 8)...)
+			_, _ = w.Write(append(page, "\x00\x00\x00\x03\x01kv"...))
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer store.Close()
+	g = New(site.Settings{Store: strings.TrimPrefix(store.URL, "http://")}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
+	g.startController()
+	defer g.system.Shutdown()
+	g.peers.isReader = true
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- g.followOperators(ctx) }()
+	require.Eventually(t, func() bool { end, _ := topic(); return end == 6 }, 5*time.Second, 10*time.Millisecond)
+	_, readAt := topic()
+	require.Equal(t, time.Duration(listed.Load()), readAt)
+	stop()
+	require.NoError(t, <-done)
+}
