--- a/gateway/front.go
+++ b/gateway/front.go
@@ -113,6 +113,20 @@
 	return at != 0 && clock.Boot()-time.Duration(at) < g.bounds().Revoke-revokeMargin
 }
 
+// denyMargin is the part of the time within which a configuration must be in force that is kept in reserve, for the way of
+// the answer.
+const denyMargin = 200 * time.Millisecond
+
+// deny returns the refusal of a request that the configuration does not allow. If a configuration that must be in force by
+// now may not have been read yet, which may allow it, the refusal says that the request may be sent again.
+func (g *Gateway) deny(status int, reason string) *refusal {
+	age := clock.Boot() - time.Duration(g.confirmedAt.Load())
+	if apply := g.bounds().Apply; apply > 0 && age >= apply-denyMargin {
+		return unavailable("stale_configuration")
+	}
+	return &refusal{status: status, reason: reason}
+}
+
 // serveCaller handles one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.tracker.requestStarted()
@@ -169,11 +183,11 @@
 		return &refusal{status: http.StatusBadRequest, reason: "not_a_path"}
 	}
 	if c.route, ok = view.Configuration.Match(c.host, path); !ok {
-		return &refusal{status: http.StatusNotFound, reason: "no_route"}
+		return g.deny(http.StatusNotFound, "no_route")
 	}
 	if view.Configuration.KeysRequired() && !c.route.Anonymous {
 		if c.organisation, ok = view.Configuration.Organisation(c.request.Key); !ok {
-			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
+			return g.deny(http.StatusUnauthorized, "unknown_key")
 		}
 	}
 	if err != nil {
