--- a/soakcmd.go
+++ b/soakcmd.go
@@ -45,14 +45,21 @@
 	f.StringVar(&c.other, "other", "", "commit of another build: a rollout replaces the daemons by it, one after the other, and goes back")
 	f.BoolVar(&c.plan.Rollout.FromOther, "from-other", false, "begin the rollout on the other build")
 	f.DurationVar(&c.plan.Rollout.Pause, "pause", time.Second, "how long the rollout stops half-way, there and back")
+	f.BoolVar(&c.plan.Drills, "drills", false, "let the store come back from copies")
+	f.BoolVar(&c.plan.Outages, "outages", false, "let the store be away at the same times, without copies")
+	f.BoolVar(&c.plan.Changes, "changes", false, "add routes and take them away, and check what daemons serve")
+	f.BoolVar(&c.plan.NoFaults, "no-faults", false, "inject no other faults")
+	f.StringVar(&c.plan.Program, "program", "", "executable of the daemons; this one if empty")
 	f.StringVar(&c.log, "log", "", "file for the daemons' output")
 }
 
 // Execute implements subcommands.Command.
 func (c *soakCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	var err error
-	if c.plan.Program, err = os.Executable(); err != nil {
-		return c.fail(exitFailure, err)
+	if c.plan.Program == "" {
+		if c.plan.Program, err = os.Executable(); err != nil {
+			return c.fail(exitFailure, err)
+		}
 	}
 	c.plan.Log = io.Discard
 	if c.log != "" {
