--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -87,9 +86,12 @@
 			}
 		},
 	})
-	// Opaque preserves the request target exactly as the caller sent it.
+	target, err := targetURL(server.Address, c.target)
+	if err != nil {
+		return nil, notRun, err
+	}
 	req := &http.Request{
-		Method: c.method, URL: &url.URL{Scheme: "http", Host: server.Address, Opaque: c.target}, Host: c.host,
+		Method: c.method, URL: target, Host: c.host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(c.body)),
 		Body: newSingleUseBody(c.body),
 	}
@@ -104,10 +106,7 @@
 	if !c.route.Repeatable() {
 		transport = g.singleUseTransport
 	}
-	var (
-		resp *http.Response
-		err  error
-	)
+	var resp *http.Response
 	if resp, err = transport.RoundTrip(req.WithContext(ctx)); err != nil {
 		notSent := !written.Load() || errors.Is(err, errNotWritten) || isUnreached(err)
 		if notSent && !errors.Is(err, errDetourBroke) && !errors.Is(err, platform.ErrForeignResponse) {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -182,6 +182,10 @@
 	if !strings.HasPrefix(path, "/") {
 		return &refusal{status: http.StatusBadRequest, reason: "not_a_path"}
 	}
+	if _, invalid := targetURL("", c.target); invalid != nil {
+		c.detail = invalid.Error()
+		return &refusal{status: http.StatusBadRequest, reason: "not_a_path"}
+	}
 	if c.route, ok = view.Configuration.Match(c.host, path); !ok {
 		return g.deny(http.StatusNotFound, "no_route")
 	}
--- a/gateway/helper.go
+++ b/gateway/helper.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
@@ -99,8 +98,12 @@
 
 // passOn sends q to its server. If it returns a refusal, q was not sent; after an error it may have run.
 func (g *Gateway) passOn(ctx context.Context, q detourRequest) (*http.Response, detourRefusal, error) {
+	target, err := targetURL(q.Address, q.Target)
+	if err != nil {
+		return nil, refusedBusy, nil //nolint:nilerr // The other daemon has checked the target; the refusal says that nothing was sent.
+	}
 	req := &http.Request{
-		Method: q.Method, URL: &url.URL{Scheme: "http", Host: q.Address, Opaque: q.Target}, Host: q.Host,
+		Method: q.Method, URL: target, Host: q.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: q.Header, ContentLength: int64(len(q.Body)),
 		Body: newSingleUseBody(q.Body),
 	}
