--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -250,68 +250,88 @@
 	})
 }
 
+// An eraHistory is a store that comes back from copies, a hub that reads it, and a follower of the hub.
+type eraHistory struct {
+	t             *rapid.T
+	hub, follower relay.Topic
+	records       []relay.Record
+	era           int64
+	late          []relay.Update
+	readAt        time.Duration
+}
+
+// write appends a record to the store.
+func (h *eraHistory) write() {
+	r := relay.Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(h.t, "key"), Offset: int64(len(h.records))}
+	if rapid.Bool().Draw(h.t, "kept") {
+		r.Value = fmt.Appendf(nil, "%d/%d", h.era, r.Offset)
+	}
+	h.records = append(h.records, r)
+}
+
+// read makes the hub read the store.
+func (h *eraHistory) read() {
+	h.readAt++
+	u := relay.Update{Era: h.era, From: h.hub.End(), End: int64(len(h.records)), ReadAt: h.readAt}
+	if u.Whole = h.hub.End() < 0 || h.hub.Era() != h.era; u.Whole {
+		u.Records = newest(h.records)
+	} else {
+		u.Records = slices.Clone(h.records[h.hub.End():])
+	}
+	if fresh, ok := h.hub.Unseen(u); ok {
+		h.hub.Apply(fresh)
+	}
+}
+
+// answer makes the hub answer the follower, which receives that now or later.
+func (h *eraHistory) answer() {
+	u, ok := h.hub.Since(h.follower.Era(), h.follower.End())
+	if !ok {
+		return
+	}
+	if h.late = append(h.late, u); rapid.Bool().Draw(h.t, "arrived") {
+		h.receive(u)
+	}
+}
+
+// receive makes the follower receive u.
+func (h *eraHistory) receive(u relay.Update) {
+	if fresh, ok := h.follower.Unseen(u); ok {
+		h.follower.Apply(fresh)
+	}
+}
+
 // TestTopicsOverEras guards against a copy of a topic that mixes two eras of the store: it comes back from an older copy at
 // any moment, and gives offsets out again. Updates are lost, arrive late, or come from a hub that is still in an earlier
 // era.
 func TestTopicsOverEras(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var (
-			hub, follower relay.Topic
-			records       []relay.Record
-			era           = int64(1)
-			late          []relay.Update
-			readAt        time.Duration
-		)
-		read := func() {
-			readAt++
-			u := relay.Update{Era: era, From: hub.End(), End: int64(len(records)), ReadAt: readAt}
-			if u.Whole = hub.End() < 0 || hub.Era() != era; u.Whole {
-				u.Records = newest(records)
-			} else {
-				u.Records = slices.Clone(records[hub.End():])
-			}
-			if fresh, ok := hub.Unseen(u); ok {
-				hub.Apply(fresh)
-			}
-		}
-		receive := func(u relay.Update) {
-			if fresh, ok := follower.Unseen(u); ok {
-				follower.Apply(fresh)
-			}
-		}
+		h := &eraHistory{t: t, era: 1}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 7).Draw(t, "what") {
 			case 0, 1:
-				r := relay.Record{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Offset: int64(len(records))}
-				if rapid.Bool().Draw(t, "kept") {
-					r.Value = fmt.Appendf(nil, "%d/%d", era, r.Offset)
-				}
-				records = append(records, r)
+				h.write()
 			case 2:
-				records, era = slices.Clone(records[:rapid.IntRange(0, len(records)).Draw(t, "copy")]), era+1
+				h.records, h.era = slices.Clone(h.records[:rapid.IntRange(0, len(h.records)).Draw(t, "copy")]), h.era+1
 			case 3, 4:
-				read()
+				h.read()
 			case 5, 6:
-				if u, ok := hub.Since(follower.Era(), follower.End()); ok {
-					if late = append(late, u); rapid.Bool().Draw(t, "arrived") {
-						receive(u)
-					}
-				}
+				h.answer()
 			case 7:
-				if len(late) > 0 {
-					receive(late[rapid.IntRange(0, len(late)-1).Draw(t, "update")])
+				if len(h.late) > 0 {
+					h.receive(rapid.SampledFrom(h.late).Draw(t, "update"))
 				}
 			}
 		}
-		read()
-		u, ok := hub.Since(follower.Era(), follower.End())
+		h.read()
+		u, ok := h.hub.Since(h.follower.Era(), h.follower.End())
 		require.True(t, ok)
-		receive(u)
-		want := newest(records)
-		for name, topic := range map[string]*relay.Topic{"hub": &hub, "follower": &follower} {
+		h.receive(u)
+		want := newest(h.records)
+		for name, topic := range map[string]*relay.Topic{"hub": &h.hub, "follower": &h.follower} {
 			all, _ := topic.Since(topic.Era(), -1)
-			require.ElementsMatch(t, want, all.Records, "%s in era %d", name, era)
-			require.Equal(t, int64(len(records)), topic.End())
+			require.ElementsMatch(t, want, all.Records, "%s in era %d", name, h.era)
+			require.Equal(t, int64(len(h.records)), topic.End())
 		}
 	})
 }
--- a/coordination/tenure/tenure_test.go
+++ b/coordination/tenure/tenure_test.go
@@ -270,6 +270,50 @@
 	}
 }
 
+// restore makes the store come back from a copy, which lacks some of the newest records. What was lost is not read any
+// more.
+func (w *restoredStore) restore() {
+	w.era++
+	w.end = rapid.Int64Range(0, w.end).Draw(w.t, "end")
+	w.heartbeats = w.heartbeats[:rapid.IntRange(0, len(w.heartbeats)).Draw(w.t, "heartbeats")]
+	for j := range w.read {
+		w.read[j] = min(w.read[j], len(w.heartbeats))
+	}
+}
+
+// step makes daemon i or the store do something.
+func (w *restoredStore) step(i int) {
+	c := &w.candidates[i]
+	switch rapid.IntRange(0, 7).Draw(w.t, "what") {
+	case 0:
+		w.observe(i)
+		c.ObserveEnd(w.now, w.end)
+	case 1:
+		if at, ok := c.ClaimableOffset(w.now, w.readAt[i]); ok && w.pending[i] == 0 {
+			w.pending[i]++
+			w.claims = append(w.claims, claim{daemon: i, era: w.seen[i], at: at, sentAt: w.now})
+		}
+	case 2, 3:
+		w.answerClaim()
+	case 4:
+		if term, leads := c.Leads(w.now); leads {
+			w.inFlight = append(w.inFlight, heartbeat{daemon: i, term: term, sentAt: w.now})
+		}
+	case 5:
+		w.observe(i)
+		w.readHeartbeats(i)
+	case 6:
+		if len(w.inFlight) > 0 {
+			w.observe(w.inFlight[0].daemon)
+		}
+		w.storeHeartbeat()
+	case 7:
+		if rapid.IntRange(0, 5).Draw(w.t, "drill") == 0 {
+			w.restore()
+		}
+	}
+}
+
 // TestOneLeaderOverEras checks that no two daemons lead at the same time, and none with the term of another, although the
 // store loses claims and heartbeats and gives their offsets out again (P48).
 func TestOneLeaderOverEras(t *testing.T) {
@@ -280,42 +324,7 @@
 		}
 		for range rapid.IntRange(1, 250).Draw(t, "steps") {
 			w.now += time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond
-			i := rapid.IntRange(0, len(w.candidates)-1).Draw(t, "daemon")
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
-			case 0:
-				w.observe(i)
-				w.candidates[i].ObserveEnd(w.now, w.end)
-			case 1:
-				if at, ok := w.candidates[i].ClaimableOffset(w.now, w.readAt[i]); ok && w.pending[i] == 0 {
-					w.pending[i]++
-					w.claims = append(w.claims, claim{daemon: i, era: w.seen[i], at: at, sentAt: w.now})
-				}
-			case 2, 3:
-				w.answerClaim()
-			case 4:
-				if term, leads := w.candidates[i].Leads(w.now); leads {
-					w.inFlight = append(w.inFlight, heartbeat{daemon: i, term: term, sentAt: w.now})
-				}
-			case 5:
-				w.observe(i)
-				w.readHeartbeats(i)
-			case 6:
-				if len(w.inFlight) > 0 {
-					w.observe(w.inFlight[0].daemon)
-				}
-				w.storeHeartbeat()
-			case 7:
-				if rapid.IntRange(0, 5).Draw(t, "drill") > 0 {
-					break
-				}
-				// The copy lacks some of the newest records; what was lost is not read any more.
-				w.era++
-				w.end = rapid.Int64Range(0, w.end).Draw(t, "end")
-				w.heartbeats = w.heartbeats[:rapid.IntRange(0, len(w.heartbeats)).Draw(t, "heartbeats")]
-				for j := range w.read {
-					w.read[j] = min(w.read[j], len(w.heartbeats))
-				}
-			}
+			w.step(rapid.IntRange(0, len(w.candidates)-1).Draw(t, "daemon"))
 			leaders := 0
 			for j := range w.candidates {
 				if term, ok := w.candidates[j].Leads(w.now); ok {
