--- a/commands.go
+++ b/commands.go
@@ -19,6 +19,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/configuration"
 	"github.com/hawthornrock/hawthornrock/protocol/operator"
 	"github.com/hawthornrock/hawthornrock/state/settings"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 )
 
 // Exit codes shared by all commands.
@@ -105,7 +106,7 @@
 
 // client returns a client of the operator API.
 func (o *operatorFlags) client() *operator.Client {
-	return &operator.Client{Address: o.address, Token: o.token, HTTP: &http.Client{Timeout: 10 * time.Second}}
+	return &operator.Client{Address: o.address, Token: o.token, HTTP: &http.Client{Transport: &integrity.Transport{}, Timeout: 10 * time.Second}}
 }
 
 // change submits record, prints the outcome and returns the exit code.
--- a/doctorcmd.go
+++ b/doctorcmd.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
 	"github.com/hawthornrock/hawthornrock/state/settings"
 	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 	"github.com/hawthornrock/hawthornrock/transport/rest"
 )
 
@@ -80,7 +81,7 @@
 		return c.fail(exitUsage, err)
 	}
 	findings := []finding{{true, "settings", "valid"}}
-	client := &http.Client{Timeout: doctorTimeout}
+	client := &http.Client{Transport: &integrity.Transport{}, Timeout: doctorTimeout}
 	store := userplatform.Store{Address: s.Store, HTTP: client}
 	if page, err = store.Newest(ctx, userplatform.TopicOperators); err != nil {
 		findings = append(findings, finding{false, "store", err.Error()})
@@ -140,7 +141,7 @@
 
 // checkLog reads one page of the configuration stream.
 func (c *doctorCommand) checkLog(ctx context.Context, s settings.Settings) finding {
-	client := platform.Client{Address: s.Platform.Address, HTTP: &http.Client{Timeout: doctorTimeout}}
+	client := platform.Client{Address: s.Platform.Address, HTTP: &http.Client{Transport: &integrity.Transport{}, Timeout: doctorTimeout}}
 	var (
 		page platform.Page
 		err  error
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/hawthornrock/hawthornrock/protocol/backend"
 	"github.com/hawthornrock/hawthornrock/protocol/platform"
 	"github.com/hawthornrock/hawthornrock/state/settings"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
@@ -248,18 +249,18 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
-	return &http.Client{Transport: transport, Timeout: timeout}
+	return &http.Client{Transport: &integrity.Transport{HTTP: transport}, Timeout: timeout}
 }
 
 // newSingleUseTransport returns a transport that uses each connection for one request only.
 // http.Transport may resend a request when a reused connection fails; this one never does. It
 // trusts roots, or the authorities of the machine if roots is nil.
-func newSingleUseTransport(roots *x509.CertPool) *http.Transport {
-	return &http.Transport{
+func newSingleUseTransport(roots *x509.CertPool) *integrity.Transport {
+	return &integrity.Transport{HTTP: &http.Transport{
 		TLSClientConfig:        &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	}}
 }
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/detour"
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 )
 
@@ -127,7 +128,7 @@
 
 // newServerTransport returns a serverTransport whose connections dial opens.
 func (g *Gateway) newServerTransport(dial dialFunc, singleUse bool) *serverTransport {
-	dial = wrapServerConns(dial)
+	dial = wrapServerConns(integrity.WrapDial(dial))
 	return &serverTransport{gateway: g, direct: newTransport(dial, singleUse), fresh: newTransport(dial, true)}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornrock/hawthornrock/state/policy"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 	"github.com/hawthornrock/hawthornrock/transport/link"
 	"github.com/hawthornrock/hawthornrock/transport/serve"
 	"github.com/hawthornrock/hawthornrock/transport/task"
@@ -107,7 +108,7 @@
 		tracer:        tracer,
 		metrics:       newMetrics(),
 		links:         new(link.Counters),
-		peerClient:    &http.Client{Transport: newTransport(dialer().DialContext, false)},
+		peerClient:    &http.Client{Transport: &integrity.Transport{HTTP: newTransport(dialer().DialContext, false)}},
 		secret:        uuid.NewString(),
 		retries:       make(map[string]*budget.Retries),
 		heartbeatNow:  make(chan struct{}, 1),
@@ -118,7 +119,7 @@
 	g.memory.limitMemory(s.Limits.MemoryMB)
 	g.currentBounds.Store(&s.Bounds)
 	g.currentPolicy.Store(&s.Policy)
-	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: newTransport(dialer().DialContext, false)}, PageTimeout: readTimeout}
+	g.store = &platform.Store{Address: s.Store, HTTP: &http.Client{Transport: &integrity.Transport{HTTP: newTransport(dialer().DialContext, false)}}, PageTimeout: readTimeout}
 	var badEra sync.Once
 	g.store.BadEra = func(era string) {
 		badEra.Do(func() {
