--- /dev/null
+++ b/entry/malformed_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/protocol/backend"
+	"github.com/hawthornrock/hawthornrock/standin"
+)
+
+// withStreams returns readers and the place that reads streams.
+func withStreams() []answerReader {
+	return append(readers[:len(readers):len(readers)], answerReader{"stream", "200 OK", "data: {\"request\":\"r\",\"done\":true}\n\n", func(t *testing.T, d *Daemon) error {
+		stream, err := d.engine.Generate(t.Context(), "a", backend.GenerateRequest{Request: "r"})
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		_, err = stream.Next()
+		return err
+	}})
+}
+
+// TestStatusesThatAreNone guards against an answer whose status is none and that is passed on or believed, in each place
+// that reads answers (P96).
+func TestStatusesThatAreNone(t *testing.T) {
+	for _, reader := range withStreams() {
+		t.Run(reader.name, func(t *testing.T) {
+			reader.requireAccepted(t)
+			for _, status := range []string{"000 None", "099 None", "+20 None", "600 None", "999 None", "101 Switching Protocols"} {
+				answer := "HTTP/1.1 " + status + "\r\n\r\n" + reader.body
+				require.Error(t, reader.read(t, newDaemonWithDial(t, standin.DialResponse(answer))), "status %s", status)
+			}
+		})
+	}
+}
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -183,12 +183,19 @@
 	}
 	sentAt := clock.Boot()
 	answer, reason := g.ask(ctx, to, q)
-	if reason == nil && answer.head.Status != http.StatusMisdirectedRequest {
-		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
-	}
 	if a != nil {
 		a.helper = answer.helper
 	}
+	if reason == nil {
+		// An older daemon passes on what it accepts.
+		if err = integrity.Check(req.Header, answer.head.Status); err != nil {
+			answer.exchange.Abort()
+			return nil, fmt.Errorf("%w: %w through %s", errAnswerLost, err, answer.helper)
+		}
+	}
+	if reason == nil && answer.head.Status != http.StatusMisdirectedRequest {
+		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
+	}
 	if reason != nil {
 		if errors.Is(reason, errDetourBroke) || ctx.Err() != nil {
 			return nil, reason
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
 )
 
 // errNotWritten means that no byte of a request was written: its connection was closed, or had received bytes
@@ -210,6 +211,11 @@
 		_ = resp.Body.Close()
 		return nil, errNotWritten
 	}
+	if err = integrity.Check(req.Header, resp.StatusCode); err != nil {
+		x.abort()
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	switch platform.OriginOf(req.Header, resp.Header, resp.StatusCode, x.first) {
 	case platform.Foreign:
 		// Without a body the transport already keeps the connection for other requests, so closing the body is
--- /dev/null
+++ b/transport/integrity/response_test.go
@@ -0,0 +1,92 @@
+package integrity_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/transport/integrity"
+)
+
+func ExampleCheck() {
+	fmt.Println(integrity.Check(nil, http.StatusOK))
+	fmt.Println(integrity.Check(nil, 0))
+	// Output:
+	// <nil>
+	// malformed response: status 0
+}
+
+// TestCheck guards against responses that are believed although their status is none (P96).
+func TestCheck(t *testing.T) {
+	upgrade := http.Header{"Upgrade": {"websocket"}}
+	for _, tc := range []struct {
+		name    string
+		request http.Header
+		status  int
+		want    error
+	}{
+		{"success", nil, 200, nil},
+		{"redirect", nil, 304, nil},
+		{"failure", nil, 500, nil},
+		{"status_without_a_name", nil, 599, nil},
+		{"zero", nil, 0, integrity.ErrMalformed},
+		{"two_digits", nil, 99, integrity.ErrMalformed},
+		{"interim", nil, 103, integrity.ErrMalformed},
+		{"interim_that_no_request_asks_for", nil, 199, integrity.ErrMalformed},
+		{"six_hundred", nil, 600, integrity.ErrMalformed},
+		{"nine_hundred", nil, 999, integrity.ErrMalformed},
+		{"other_protocol", upgrade, 101, nil},
+		{"other_protocol_unasked", nil, 101, integrity.ErrMalformed},
+		{"zero_for_another_protocol", upgrade, 0, integrity.ErrMalformed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.ErrorIs(t, integrity.Check(tc.request, tc.status), tc.want)
+		})
+	}
+}
+
+// startRawServer starts a server that answers each request with response, and then waits until the client closes the
+// connection. The channel receives a value for each that it closes.
+func startRawServer(t *testing.T, response string) (url string, closed <-chan struct{}) {
+	t.Helper()
+	ended := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.Copy(io.Discard, conn)
+		ended <- struct{}{}
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, ended
+}
+
+// TestConnectionOfAMalformedResponse guards against a connection that carries further requests after a malformed response.
+func TestConnectionOfAMalformedResponse(t *testing.T) {
+	for _, fields := range []string{"", "Content-Length: 0\r\n", "Content-Length: 4\r\n", "Upgrade: websocket\r\nConnection: Upgrade\r\n"} {
+		for _, status := range []string{"000", "101", "600"} {
+			t.Run(status+"_"+fields, func(t *testing.T) {
+				url, closed := startRawServer(t, "HTTP/1.1 "+status+" None\r\n"+fields+"\r\n")
+				client := &http.Client{Transport: &integrity.Transport{}}
+				resp, err := client.Get(url)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				require.ErrorIs(t, err, integrity.ErrMalformed)
+				select {
+				case <-closed:
+				case <-time.After(5 * time.Second):
+					require.Fail(t, "the connection is open")
+				}
+			})
+		}
+	}
+}
--- a/transport/integrity/transport.go
+++ b/transport/integrity/transport.go
@@ -4,7 +4,9 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // A Transport is an http.RoundTripper that returns whole responses only. The zero value is ready to use.
@@ -15,10 +17,24 @@
 	once sync.Once
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It closes the connection of a malformed response.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	t.once.Do(t.wrapDial)
-	return t.HTTP.RoundTrip(req)
+	var current atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { current.Store(&info.Conn) }}
+	resp, err := t.HTTP.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err = Check(req.Header, resp.StatusCode); err != nil {
+		// Without a body the connection is already kept for other requests, so closing the body is not enough.
+		if conn := current.Load(); conn != nil {
+			_ = (*conn).Close()
+		}
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // wrapDial makes the connections of t report resets.
