--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,3 +36,16 @@
 		})
 	}
 }
+
+// TestFieldNamesThatAreNone guards against an answer with a field whose name is none and that is passed on or believed, in
+// each place that reads answers (P97).
+func TestFieldNamesThatAreNone(t *testing.T) {
+	for _, reader := range withStreams() {
+		t.Run(reader.name, func(t *testing.T) {
+			for _, line := range []string{"X None: 1", "X-None : 1", "Content-Length : 2", "X\x01None: 1", ": 1"} {
+				answer := fmt.Sprintf("HTTP/1.1 %s\r\nX-Sound: 1\r\n%s\r\nContent-Length: %d\r\n\r\n%s", reader.status, line, len(reader.body), reader.body)
+				require.Error(t, reader.read(t, newDaemonWithDial(t, standin.DialResponse(answer))), "line %q", line)
+			}
+		})
+	}
+}
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -188,7 +188,7 @@
 	}
 	if reason == nil {
 		// An older daemon passes on what it accepts.
-		if err = integrity.Check(req.Header, answer.head.Status); err != nil {
+		if err = integrity.Check(req.Header, answer.head.Status, answer.head.Header); err != nil {
 			answer.exchange.Abort()
 			return nil, fmt.Errorf("%w: %w through %s", errAnswerLost, err, answer.helper)
 		}
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -80,6 +80,7 @@
 		{"refuses_unreachable", parts(received, detourPart{Refusal: refusedUnreachable}), notRun, "", false},
 		{"refuses_server", parts(received, detourPart{Refusal: refusedServer}), notRun, "", false},
 		{"status_that_is_none", parts(received, detourPart{Status: 600, Header: http.Header{}, Own: true}, detourPart{End: true}), lost, "", false},
+		{"field_name_that_is_none", parts(received, detourPart{Status: http.StatusNotFound, Header: http.Header{"X None": {"1"}}, Own: true}, detourPart{End: true}), lost, "", false},
 		{"refusal_of_the_server", parts(received, refusal(true), detourPart{End: true}), notRun, "", false},
 		{"refusal_with_the_id", parts(received, refusal(false, "id"), detourPart{End: true}), notRun, "", false},
 		{"refusal_without_an_id", parts(received, refusal(false), detourPart{End: true}), lost, "", false},
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -211,7 +211,7 @@
 		_ = resp.Body.Close()
 		return nil, errNotWritten
 	}
-	if err = integrity.Check(req.Header, resp.StatusCode); err != nil {
+	if err = integrity.Check(req.Header, resp.StatusCode, resp.Header); err != nil {
 		x.abort()
 		_ = resp.Body.Close()
 		return nil, err
--- a/transport/integrity/response.go
+++ b/transport/integrity/response.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that the bytes that followed a request are no HTTP response. Nothing is known of the request.
@@ -14,16 +16,22 @@
 	minStatus = 200
 	// maxStatus is the highest status of a response (RFC 9110, section 15).
 	maxStatus = 599
+	// maxQuotedBytes bounds the part of a field name that an error quotes.
+	maxQuotedBytes = 64
 )
 
 // Check returns an error that is ErrMalformed if the head of a response to a request with the given header is none, although
-// net/http accepts it: its status is no status of a final response.
-func Check(request http.Header, status int) error {
-	if status == http.StatusSwitchingProtocols && request.Get("Upgrade") != "" {
-		return nil
-	}
-	if status < minStatus || status > maxStatus {
+// net/http accepts it: its status is no status of a final response, or the name of a field holds a blank, as before the
+// colon. Programs disagree on the name of such a field, so what the head says of the body and of the request is uncertain.
+func Check(request http.Header, status int, response http.Header) error {
+	upgraded := status == http.StatusSwitchingProtocols && request.Get("Upgrade") != ""
+	if !upgraded && (status < minStatus || status > maxStatus) {
 		return fmt.Errorf("%w: status %d", ErrMalformed, status)
 	}
+	for name := range response {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.*q", ErrMalformed, maxQuotedBytes, name)
+		}
+	}
 	return nil
 }
--- a/transport/integrity/response_test.go
+++ b/transport/integrity/response_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,38 +15,53 @@
 )
 
 func ExampleCheck() {
-	fmt.Println(integrity.Check(nil, http.StatusOK))
-	fmt.Println(integrity.Check(nil, 0))
+	fmt.Println(integrity.Check(nil, http.StatusOK, nil))
+	fmt.Println(integrity.Check(nil, 0, nil))
+	fmt.Println(integrity.Check(nil, http.StatusOK, http.Header{"Content-Length ": {"2"}}))
 	// Output:
 	// <nil>
 	// malformed response: status 0
+	// malformed response: field name "Content-Length "
 }
 
-// TestCheck guards against responses that are believed although their status is none (P96).
+// TestCheck guards against responses that are believed although their status or the name of a field is none (P96, P97).
 func TestCheck(t *testing.T) {
+	const sound = "X-Sound"
 	upgrade := http.Header{"Upgrade": {"websocket"}}
 	for _, tc := range []struct {
 		name    string
 		request http.Header
 		status  int
+		field   string
 		want    error
 	}{
-		{"success", nil, 200, nil},
-		{"redirect", nil, 304, nil},
-		{"failure", nil, 500, nil},
-		{"status_without_a_name", nil, 599, nil},
-		{"zero", nil, 0, integrity.ErrMalformed},
-		{"two_digits", nil, 99, integrity.ErrMalformed},
-		{"interim", nil, 103, integrity.ErrMalformed},
-		{"interim_that_no_request_asks_for", nil, 199, integrity.ErrMalformed},
-		{"six_hundred", nil, 600, integrity.ErrMalformed},
-		{"nine_hundred", nil, 999, integrity.ErrMalformed},
-		{"other_protocol", upgrade, 101, nil},
-		{"other_protocol_unasked", nil, 101, integrity.ErrMalformed},
-		{"zero_for_another_protocol", upgrade, 0, integrity.ErrMalformed},
+		{"success", nil, 200, sound, nil},
+		{"redirect", nil, 304, sound, nil},
+		{"failure", nil, 500, sound, nil},
+		{"status_without_a_name", nil, 599, sound, nil},
+		{"zero", nil, 0, sound, integrity.ErrMalformed},
+		{"two_digits", nil, 99, sound, integrity.ErrMalformed},
+		{"interim", nil, 103, sound, integrity.ErrMalformed},
+		{"interim_that_no_request_asks_for", nil, 199, sound, integrity.ErrMalformed},
+		{"six_hundred", nil, 600, sound, integrity.ErrMalformed},
+		{"nine_hundred", nil, 999, sound, integrity.ErrMalformed},
+		{"other_protocol", upgrade, 101, sound, nil},
+		{"other_protocol_unasked", nil, 101, sound, integrity.ErrMalformed},
+		{"zero_for_another_protocol", upgrade, 0, sound, integrity.ErrMalformed},
+		{"all_characters_of_a_token", nil, 200, "!#$%&'*+-.^_`|~09azAZ", nil},
+		{"blank_in_a_name", nil, 200, "X None", integrity.ErrMalformed},
+		{"blank_before_the_colon", nil, 200, "X-None ", integrity.ErrMalformed},
+		{"control_byte", nil, 200, "X\x01None", integrity.ErrMalformed},
+		{"no_name", nil, 200, "", integrity.ErrMalformed},
+		{"blank_in_a_name_for_another_protocol", upgrade, 101, "X None", integrity.ErrMalformed},
+		{"long_name", nil, 200, strings.Repeat("x ", 1<<20), integrity.ErrMalformed},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			require.ErrorIs(t, integrity.Check(tc.request, tc.status), tc.want)
+			err := integrity.Check(tc.request, tc.status, http.Header{sound: {"1"}, tc.field: {"1"}})
+			require.ErrorIs(t, err, tc.want)
+			if err != nil {
+				require.Less(t, len(err.Error()), 200)
+			}
 		})
 	}
 }
--- a/transport/integrity/transport.go
+++ b/transport/integrity/transport.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err = Check(req.Header, resp.StatusCode); err != nil {
+	if err = Check(req.Header, resp.StatusCode, resp.Header); err != nil {
 		// Without a body the connection is already kept for other requests, so closing the body is not enough.
 		if conn := current.Load(); conn != nil {
 			_ = (*conn).Close()
