--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -166,6 +166,9 @@
 		if platform.AttemptID(req.Header) != "" {
 			return nil, err
 		}
+	case errors.Is(err, integrity.ErrMalformed):
+		t.gateway.recordMalformed(req, err)
+		return nil, err
 	default:
 		t.recordLimit(req, resp, sentAt)
 		return resp, err
@@ -184,6 +187,13 @@
 	return resp, err
 }
 
+// recordMalformed counts and logs a response to req that is none.
+func (g *Gateway) recordMalformed(req *http.Request, err error) {
+	g.metrics.events.Add("responses_malformed", 1)
+	g.logger.Warn().Str("event", "response_malformed").Str("request", platform.AttemptID(req.Header)).Str("server", platform.ServerID(req.Header)).
+		Str("address", req.URL.Host).Err(err).Msg("response of server is none in HTTP; its request counts as one that may have run")
+}
+
 // recordLimit records what resp, the answer to req, says of the requests that its server takes.
 func (t *serverTransport) recordLimit(req *http.Request, resp *http.Response, sentAt time.Duration) {
 	// A misdirected request was answered by another server.
