--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -23,9 +23,9 @@
 	}})
 }
 
-// TestStatusesThatAreNone guards against an answer whose status is none and that is passed on or believed, in each place
-// that reads answers (P96).
-func TestStatusesThatAreNone(t *testing.T) {
+// TestInvalidStatuses guards against an answer with an invalid status that is passed on or believed, in each place that reads
+// answers (P96).
+func TestInvalidStatuses(t *testing.T) {
 	for _, reader := range withStreams() {
 		t.Run(reader.name, func(t *testing.T) {
 			reader.requireAccepted(t)
@@ -37,9 +37,9 @@
 	}
 }
 
-// TestFieldNamesThatAreNone guards against an answer with a field whose name is none and that is passed on or believed, in
-// each place that reads answers (P97).
-func TestFieldNamesThatAreNone(t *testing.T) {
+// TestInvalidFieldNames guards against an answer with an invalid field name that is passed on or believed, in each place that
+// reads answers (P97).
+func TestInvalidFieldNames(t *testing.T) {
 	for _, reader := range withStreams() {
 		t.Run(reader.name, func(t *testing.T) {
 			for _, line := range []string{"X None: 1", "X-None : 1", "Content-Length : 2", "X\x01None: 1", ": 1"} {
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -186,22 +186,20 @@
 	if a != nil {
 		a.helper = answer.helper
 	}
-	if reason == nil {
-		// An older daemon passes on what it accepts.
-		if err = integrity.Check(req.Header, answer.head.Status, answer.head.Header); err != nil {
-			answer.exchange.Abort()
-			return nil, fmt.Errorf("%w: %w through %s", errAnswerLost, err, answer.helper)
-		}
-	}
-	if reason == nil && answer.head.Status != http.StatusMisdirectedRequest {
-		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
-	}
 	if reason != nil {
 		if errors.Is(reason, errDetourBroke) || ctx.Err() != nil {
 			return nil, reason
 		}
 		return nil, g.unreachable(to, direct, reason)
 	}
+	// Daemons of older builds do not check the responses that they pass on.
+	if err = integrity.Check(req.Header, answer.head.Status, answer.head.Header); err != nil {
+		answer.exchange.Abort()
+		return nil, fmt.Errorf("%w: %w through %s", errAnswerLost, err, answer.helper)
+	}
+	if answer.head.Status != http.StatusMisdirectedRequest {
+		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
+	}
 	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, answer.head.Status, false) != platform.Own {
 		// The connection to the server is the other daemon's, which may have used it before.
 		answer.exchange.Abort()
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -18,16 +18,15 @@
 	"github.com/hawthornrock/hawthornrock/transport/task"
 )
 
-// noStatuses are status lines that end no exchange: their codes are no status, or the answer to a request for another protocol.
-var noStatuses = []string{"000 None", "099 None", "+20 None", "-00 None", "600 None", "999 None", "101 Switching Protocols"}
+// invalidStatuses are status lines of no final response: their codes are invalid, or no request asked to switch protocols.
+var invalidStatuses = []string{"000 None", "099 None", "+20 None", "-00 None", "600 None", "999 None", "101 Switching Protocols"}
 
-// TestStatusesThatAreNone guards against a response whose status is none and that is taken for an answer, in each place that
-// reads responses (P96).
-func TestStatusesThatAreNone(t *testing.T) {
+// TestInvalidStatuses guards against a response with an invalid status that is believed, in each place that reads responses (P96).
+func TestInvalidStatuses(t *testing.T) {
 	for _, reader := range readers() {
 		t.Run(reader.name, func(t *testing.T) {
 			reader.requireAccepted(t)
-			for _, status := range noStatuses {
+			for _, status := range invalidStatuses {
 				for _, response := range []string{rawResponse(t, status, "", reader.body), rawResponse(t, status, "Content-Length: 0\r\n", "")} {
 					require.Error(t, reader.read(t, newGatewayWithDial(t, standin.DialResponse(response))), response)
 				}
@@ -36,18 +35,18 @@
 	}
 }
 
-// noFieldNames are lines whose names are none of a field.
-var noFieldNames = []string{
+// invalidFieldLines are header lines with invalid field names.
+var invalidFieldLines = []string{
 	"X None: 1", "X-None : 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X\tNone: 1", "X\x01None: 1", ": 1", "X\x7fNone: 1", "X(None): 1",
 }
 
-// TestFieldNamesThatAreNone guards against a response with a field whose name is none and that is taken for an answer, in
-// each place that reads responses (P97).
-func TestFieldNamesThatAreNone(t *testing.T) {
+// TestInvalidFieldNames guards against a response with an invalid field name that is believed, in each place that reads
+// responses (P97).
+func TestInvalidFieldNames(t *testing.T) {
 	for _, reader := range readers() {
 		t.Run(reader.name, func(t *testing.T) {
 			reader.requireAccepted(t)
-			for _, line := range noFieldNames {
+			for _, line := range invalidFieldLines {
 				fields := fmt.Sprintf("X-Sound: 1\r\n%s\r\nContent-Length: %d\r\n", line, len(reader.body))
 				response := rawResponse(t, reader.status, fields, reader.body)
 				require.Error(t, reader.read(t, newGatewayWithDial(t, standin.DialResponse(response))), "line %q", line)
@@ -56,8 +55,8 @@
 	}
 }
 
-// TestHandshakesThatAreMalformed guards against a link to a daemon whose answer to the handshake is malformed (P96, P97).
-func TestHandshakesThatAreMalformed(t *testing.T) {
+// TestMalformedHandshakes guards against a link to a daemon whose answer to the handshake is malformed (P96, P97).
+func TestMalformedHandshakes(t *testing.T) {
 	for _, tc := range []struct {
 		name, status, line string
 		linked             bool
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -187,11 +187,11 @@
 	return resp, err
 }
 
-// recordMalformed counts and logs a response to req that is none.
+// recordMalformed counts and logs a malformed response to req.
 func (g *Gateway) recordMalformed(req *http.Request, err error) {
 	g.metrics.events.Add("responses_malformed", 1)
 	g.logger.Warn().Str("event", "response_malformed").Str("request", platform.AttemptID(req.Header)).Str("server", platform.ServerID(req.Header)).
-		Str("address", req.URL.Host).Err(err).Msg("response of server is none in HTTP; its request counts as one that may have run")
+		Str("address", req.URL.Host).Err(err).Msg("server sent a malformed response; closed its connection, and the request may have run")
 }
 
 // recordLimit records what resp, the answer to req, says of the requests that its server takes.
--- a/transport/integrity/response.go
+++ b/transport/integrity/response.go
@@ -8,7 +8,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed means that the bytes that followed a request are no HTTP response. Nothing is known of the request.
+// ErrMalformed means that a response violates HTTP. Nothing that it says is known of its request.
 var ErrMalformed = errors.New("malformed response")
 
 const (
@@ -20,9 +20,9 @@
 	maxQuotedBytes = 64
 )
 
-// Check returns an error that is ErrMalformed if the head of a response to a request with the given header is none, although
-// net/http accepts it: its status is no status of a final response, or the name of a field holds a blank, as before the
-// colon. Programs disagree on the name of such a field, so what the head says of the body and of the request is uncertain.
+// Check returns ErrMalformed if the head of a response to a request with the given header violates HTTP, although net/http
+// accepts it: the status is not that of a final response, or a field name holds a blank, possibly before the colon. Programs
+// disagree on the name of such a field, and with it on the length of the body and the request that the response belongs to.
 func Check(request http.Header, status int, response http.Header) error {
 	upgraded := status == http.StatusSwitchingProtocols && request.Get("Upgrade") != ""
 	if !upgraded && (status < minStatus || status > maxStatus) {
--- a/transport/integrity/response_test.go
+++ b/transport/integrity/response_test.go
@@ -24,7 +24,7 @@
 	// malformed response: field name "Content-Length "
 }
 
-// TestCheck guards against responses that are believed although their status or the name of a field is none (P96, P97).
+// TestCheck guards against responses that are believed although their status or a field name is invalid (P96, P97).
 func TestCheck(t *testing.T) {
 	const sound = "X-Sound"
 	upgrade := http.Header{"Upgrade": {"websocket"}}
--- a/transport/integrity/transport.go
+++ b/transport/integrity/transport.go
@@ -1,4 +1,4 @@
-// Package integrity keeps broken responses of other programs from being taken for whole ones, where net/http accepts them.
+// Package integrity rejects broken HTTP responses that net/http accepts: those cut off by a reset, and malformed ones.
 package integrity
 
 import (
@@ -9,7 +9,7 @@
 	"sync/atomic"
 )
 
-// A Transport is an http.RoundTripper that returns whole responses only. The zero value is ready to use.
+// A Transport is an http.RoundTripper that rejects broken responses. The zero value is ready to use.
 type Transport struct {
 	// HTTP sends the requests. It belongs to the Transport, which wraps its dial function; nil means a new one.
 	HTTP *http.Transport
