--- /dev/null
+++ b/gateway/daemons.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"maps"
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/platform"
+)
+
+// An evidence is what shows that another daemon is alive.
+type evidence string
+
+const (
+	// byHeartbeat is a heartbeat that followed those read before, byListing one in a listing of the newest of all daemons,
+	// which may be old, byHub a hub's list of the daemons that send statuses, and byOutage the end of an outage of the
+	// store, in which no daemon could write heartbeats.
+	byHeartbeat evidence = "heartbeat"
+	byListing   evidence = "listing"
+	byHub       evidence = "hub"
+	byOutage    evidence = "outage"
+)
+
+// maxLoggedDaemons bounds the names in one log line about daemons.
+const maxLoggedDaemons = 16
+
+// foundDaemons are the daemons that one update of the heartbeats adds to the known ones.
+type foundDaemons struct {
+	// names holds the first maxLoggedDaemons of count daemons.
+	names []string
+	count int
+	// outdated is the number of heartbeats of daemons that ended a while ago.
+	outdated int
+}
+
+// add adds the daemon of the heartbeat h.
+func (f *foundDaemons) add(h heartbeat) {
+	if f.count++; len(f.names) < maxLoggedDaemons {
+		f.names = append(f.names, h.Daemon)
+	}
+}
+
+// logFoundDaemons logs which daemons an update of the heartbeats added, and why: one line for each listing, and one for
+// each other update that added any.
+func (c *controller) logFoundDaemons(now time.Duration, m topicPage, f foundDaemons) {
+	c.gateway.metrics.events.Add("heartbeats_outdated", int64(f.outdated))
+	if f.count == 0 && !m.update.Whole {
+		return
+	}
+	by := byHeartbeat
+	if m.update.Whole {
+		by = byListing
+	}
+	line := c.gateway.logger.Info().Str("event", "daemons_found").Strs("peers", f.names).Int("found", f.count).Str("by", string(by)).
+		Str("from", c.daemonName(m.from)).Int("records", len(m.update.Records)).Int("outdated", f.outdated).
+		Int64("era", m.update.Era).Int64("end", m.update.End).Dur("age", now-m.update.ReadAt)
+	if m.endBefore >= 0 {
+		line = line.Int64("end_before", m.endBefore).Dur("since_previous", m.sincePrevious)
+	}
+	line.Msg("heartbeats of daemons that were not known to be alive")
+}
+
+// daemonName returns the name of the daemon with an incarnation, the incarnation itself if the daemon is not known, and
+// "store" if there is none.
+func (c *controller) daemonName(incarnation string) string {
+	if incarnation == "" {
+		return "store"
+	}
+	for _, p := range c.daemons {
+		if p.Heartbeat.Incarnation == incarnation {
+			return p.Heartbeat.Daemon
+		}
+	}
+	return incarnation
+}
+
+// applyHeartbeats applies heartbeats of daemons.
+func (c *controller) applyHeartbeats(now time.Duration, m topicPage) {
+	if m.sincePrevious > storeOutageThreshold {
+		// Daemons could not write heartbeats during the outage either, so their timeouts start
+		// again.
+		for key, p := range c.daemons {
+			p.LastSeenAt, p.LastSeenBy = now, byOutage
+			c.daemons[key] = p
+		}
+	}
+	var found foundDaemons
+	for _, r := range m.update.Records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var (
+			h   heartbeat
+			err error
+		)
+		if h, err = decodeHeartbeat(r.Key, r.Value); err != nil {
+			c.logBrokenHeartbeat(r, err)
+			continue
+		}
+		c.applyHeartbeat(now, m, r, h, &found)
+	}
+	c.leadership.heartbeatsReadAt = m.update.ReadAt
+	c.logFoundDaemons(now, m, found)
+}
+
+// applyHeartbeat applies the heartbeat h, the record r of m.
+func (c *controller) applyHeartbeat(now time.Duration, m topicPage, r relay.Record, h heartbeat, found *foundDaemons) {
+	own := h.Incarnation == c.gateway.incarnation
+	if !own {
+		c.gateway.learnFindings(h)
+	}
+	old, known := c.daemons[r.Key]
+	if m.restored && known {
+		// What is known may be newer, and the daemon soon writes again.
+		c.leadership.candidate.ObserveHeartbeat(now, h.Term, false)
+		return
+	}
+	c.detectRestart(now, old.Heartbeat, h)
+	if h.Front == c.gateway.settings.Front && !own {
+		c.gateway.previousSecret.CompareAndSwap(nil, &h.Secret)
+	}
+	if m.update.Whole && !known && isStaleHeartbeat(m.update, r) {
+		found.outdated++
+		return
+	}
+	if !known || old.Heartbeat.Incarnation != h.Incarnation {
+		found.add(h)
+	}
+	if m.update.Whole && !known && !own {
+		// The newest record of a key may be of a daemon that ended long ago: it expires unless
+		// another heartbeat follows within one and a half intervals.
+		c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: now - peerTimeout + heartbeatInterval*3/2, LastSeenBy: byListing}
+		c.dirty = true
+		return
+	}
+	if !own {
+		c.leadership.candidate.ObserveHeartbeat(now, h.Term, h.Leaving)
+	}
+	c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: now, LastSeenBy: byHeartbeat}
+	c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready
+}
+
+const (
+	// maxMissedHeartbeats is how many heartbeats a listed daemon may have missed, judged by those that the
+	// others have written since.
+	maxMissedHeartbeats = 3
+	// extraLeaderHeartbeats is the number of heartbeats that the leader writes beyond one in the interval
+	// of the others.
+	extraLeaderHeartbeats = int64(heartbeatInterval / leaderInterval)
+)
+
+// isStaleHeartbeat returns whether the heartbeat r of a listing is of a daemon that ended a while ago. The
+// store keeps the newest one of each daemon, and heartbeats have no time that other daemons could compare.
+func isStaleHeartbeat(listing relay.Update, r relay.Record) bool {
+	perInterval := int64(len(listing.Records)) + extraLeaderHeartbeats
+	return listing.End-r.Offset > maxMissedHeartbeats*perInterval
+}
+
+// detectRestart compares the heartbeat h of a daemon with the one before, old. A new incarnation
+// proves that the previous one has ended, and with it the term that it may have led. For this
+// daemon itself, a heartbeat of another incarnation is enough proof.
+func (c *controller) detectRestart(now time.Duration, old, h heartbeat) {
+	ended := old
+	if h.Front == c.gateway.settings.Front && h.Incarnation != c.gateway.incarnation {
+		ended = h
+	} else if old.Incarnation == h.Incarnation {
+		return
+	}
+	c.leadership.candidate.ObserveHeartbeat(now, ended.Term, true)
+}
+
+// A peerStatus lists the daemons that hubs receive messages from, and the work of all of them.
+type peerStatus struct {
+	daemons []uint64
+	summary relay.Summary
+}
+
+// applyPeerStatus refreshes the daemons that are alive, records the work of all, and probes the
+// replicas that have stalled for other daemons.
+func (c *controller) applyPeerStatus(now time.Duration, m peerStatus) {
+	c.peerSummary = m.summary
+	alive := make(map[uint64]bool, len(m.daemons))
+	for _, name := range m.daemons {
+		alive[name] = true
+	}
+	for key, p := range c.daemons {
+		if alive[daemonID(p.Heartbeat.Incarnation)] {
+			// The list may be that old.
+			if at := now - membershipInterval; at > p.LastSeenAt {
+				p.LastSeenAt, p.LastSeenBy = at, byHub
+			}
+			c.daemons[key] = p
+		}
+	}
+	for epoch, w := range m.summary.Loads {
+		if w.Stalled > 0 {
+			c.probeEpoch(now, epoch)
+		}
+	}
+}
+
+// expirePeers removes the daemons whose heartbeats have timed out, and returns whether there were
+// any. It removes none while heartbeats cannot be read.
+func (c *controller) expirePeers(now time.Duration) bool {
+	if c.failedTopics[platform.TopicDaemons] {
+		return false
+	}
+	n := len(c.daemons)
+	maps.DeleteFunc(c.daemons, func(_ string, p Peer) bool {
+		if now-p.LastSeenAt <= peerTimeout || p.Heartbeat.Incarnation == c.gateway.incarnation {
+			return false
+		}
+		c.gateway.logger.Info().Str("event", "daemon_lost").Str("peer", p.Heartbeat.Daemon).Str("last_seen_by", string(p.LastSeenBy)).Dur("age", now-p.LastSeenAt).Msg("no heartbeat from daemon within the timeout; dropped from the peers")
+		return true
+	})
+	return len(c.daemons) != n
+}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -36,8 +36,10 @@
 // A topicPage is an update of a topic. sincePrevious is the time between its read and the one
 // before.
 type topicPage struct {
-	topic         string
-	update        relay.Update
+	topic  string
+	update relay.Update
+	// from is the incarnation of the hub that sent the update; empty if this daemon read the store.
+	from          string
 	sincePrevious time.Duration
 	// endBefore is the end of the copy of the topic before the update. restored means that the update is the first one
 	// after the store came back from a copy.
@@ -108,7 +110,7 @@
 			// Later records are unread, so the read confirms nothing as of its time.
 			update.ReadAt = min(sent, g.peers.topic(topic).ReadAt())
 		}
-		g.applyTopicUpdate(topic, update)
+		g.applyTopicUpdate(topic, "", update)
 		g.peers.mu.Unlock()
 		if !page.Partial || page.End <= next {
 			clock.Sleep(ctx, g.readInterval(topic, interval))
@@ -218,9 +220,9 @@
 	return usual
 }
 
-// applyTopicUpdate applies an update of a topic that this daemon or a hub has read. The caller
+// applyTopicUpdate applies an update of a topic that this daemon, or the hub of the incarnation from, has read. The caller
 // holds the lock of the peer state, so that updates reach the controller in order.
-func (g *Gateway) applyTopicUpdate(topic string, update relay.Update) {
+func (g *Gateway) applyTopicUpdate(topic, from string, update relay.Update) {
 	t := g.peers.topic(topic)
 	fresh, ok := t.Unseen(update)
 	if !ok {
@@ -229,7 +231,7 @@
 		}
 		return
 	}
-	page := topicPage{topic: topic, update: fresh, sincePrevious: update.ReadAt - t.ReadAt(), endBefore: t.End()}
+	page := topicPage{topic: topic, update: fresh, from: from, sincePrevious: update.ReadAt - t.ReadAt(), endBefore: t.End()}
 	t.Apply(fresh)
 	g.enqueue(page)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -528,6 +528,6 @@
 		// than the actual time of the read.
 		update.ReadAt += m.EchoTimestamp
 		g.store.ObserveEra(update.Era)
-		g.applyTopicUpdate(topic, update)
+		g.applyTopicUpdate(topic, m.From, update)
 	}
 }
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -29,6 +29,8 @@
 type Peer struct {
 	Heartbeat  heartbeat
 	LastSeenAt time.Duration
+	// LastSeenBy is what showed at LastSeenAt that the daemon was alive.
+	LastSeenBy evidence
 }
 
 // A servedModel is a model as one service runs it.
