--- a/gateway/daemons.go
+++ b/gateway/daemons.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/hawthornrock/hawthornrock/coordination/presence"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
 )
@@ -29,8 +30,9 @@
 	// names holds the first maxLoggedDaemons of count daemons.
 	names []string
 	count int
-	// outdated is the number of heartbeats of daemons that ended a while ago.
-	outdated int
+	// outdated is the number of heartbeats of daemons that ended a while ago, and repeated the number of those that were
+	// known before.
+	outdated, repeated int
 }
 
 // add adds the daemon of the heartbeat h.
@@ -44,6 +46,7 @@
 // each other update that added any.
 func (c *controller) logFoundDaemons(now time.Duration, m topicPage, f foundDaemons) {
 	c.gateway.metrics.events.Add("heartbeats_outdated", int64(f.outdated))
+	c.gateway.metrics.events.Add("heartbeats_repeated", int64(f.repeated))
 	if f.count == 0 && !m.update.Whole {
 		return
 	}
@@ -52,7 +55,7 @@
 		by = byListing
 	}
 	line := c.gateway.logger.Info().Str("event", "daemons_found").Strs("peers", f.names).Int("found", f.count).Str("by", string(by)).
-		Str("from", c.daemonName(m.from)).Int("records", len(m.update.Records)).Int("outdated", f.outdated).
+		Str("from", c.daemonName(m.from)).Int("records", len(m.update.Records)).Int("outdated", f.outdated).Int("repeated", f.repeated).
 		Int64("era", m.update.Era).Int64("end", m.update.End).Dur("age", now-m.update.ReadAt)
 	if m.endBefore >= 0 {
 		line = line.Int64("end_before", m.endBefore).Dur("since_previous", m.sincePrevious)
@@ -105,12 +108,16 @@
 
 // applyHeartbeat applies the heartbeat h, the record r of m.
 func (c *controller) applyHeartbeat(now time.Duration, m topicPage, r relay.Record, h heartbeat, found *foundDaemons) {
-	own := h.Incarnation == c.gateway.incarnation
+	sign, own := m.heartbeatRead().Sign(r.Offset), h.Incarnation == c.gateway.incarnation
+	if sign == presence.Repeated {
+		found.repeated++
+		return
+	}
 	if !own {
 		c.gateway.learnFindings(h)
 	}
 	old, known := c.daemons[r.Key]
-	if m.restored && known {
+	if sign != presence.New && known {
 		// What is known may be newer, and the daemon soon writes again.
 		c.leadership.candidate.ObserveHeartbeat(now, h.Term, false)
 		return
@@ -119,17 +126,15 @@
 	if h.Front == c.gateway.settings.Front && !own {
 		c.gateway.previousSecret.CompareAndSwap(nil, &h.Secret)
 	}
-	if m.update.Whole && !known && isStaleHeartbeat(m.update, r) {
+	if sign == presence.Outdated {
 		found.outdated++
 		return
 	}
 	if !known || old.Heartbeat.Incarnation != h.Incarnation {
 		found.add(h)
 	}
-	if m.update.Whole && !known && !own {
-		// The newest record of a key may be of a daemon that ended long ago: it expires unless
-		// another heartbeat follows within one and a half intervals.
-		c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: now - peerTimeout + heartbeatInterval*3/2, LastSeenBy: byListing}
+	if sign == presence.Undated && !own {
+		c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: presenceTimeouts.SeenAtUndated(now), LastSeenBy: byListing}
 		c.dirty = true
 		return
 	}
@@ -140,20 +145,19 @@
 	c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready
 }
 
-const (
-	// maxMissedHeartbeats is how many heartbeats a listed daemon may have missed, judged by those that the
-	// others have written since.
-	maxMissedHeartbeats = 3
-	// extraLeaderHeartbeats is the number of heartbeats that the leader writes beyond one in the interval
-	// of the others.
-	extraLeaderHeartbeats = int64(heartbeatInterval / leaderInterval)
-)
+// presenceTimeouts are how long a daemon counts as alive. A heartbeat of unknown age is followed by another one within one
+// and a half intervals in a small fleet, and by a hub's list of live daemons in a large one.
+var presenceTimeouts = presence.Timeouts{Alive: peerTimeout, Undated: heartbeatInterval * 3 / 2}
+
+// extraLeaderHeartbeats is the number of heartbeats that the leader writes beyond one in the interval
+// of the others.
+const extraLeaderHeartbeats = int64(heartbeatInterval / leaderInterval)
 
-// isStaleHeartbeat returns whether the heartbeat r of a listing is of a daemon that ended a while ago. The
-// store keeps the newest one of each daemon, and heartbeats have no time that other daemons could compare.
-func isStaleHeartbeat(listing relay.Update, r relay.Record) bool {
-	perInterval := int64(len(listing.Records)) + extraLeaderHeartbeats
-	return listing.End-r.Offset > maxMissedHeartbeats*perInterval
+// heartbeatRead returns what m, an update of the heartbeats, says of their age.
+func (m topicPage) heartbeatRead() presence.Read {
+	return presence.Read{
+		Listing: m.update.Whole, Comparable: m.comparable, EndBefore: m.endBefore, End: m.update.End, Round: int64(len(m.update.Records)) + extraLeaderHeartbeats,
+	}
 }
 
 // detectRestart compares the heartbeat h of a daemon with the one before, old. A new incarnation
@@ -207,7 +211,7 @@
 	}
 	n := len(c.daemons)
 	maps.DeleteFunc(c.daemons, func(_ string, p Peer) bool {
-		if now-p.LastSeenAt <= peerTimeout || p.Heartbeat.Incarnation == c.gateway.incarnation {
+		if !presenceTimeouts.Expired(now, p.LastSeenAt) || p.Heartbeat.Incarnation == c.gateway.incarnation {
 			return false
 		}
 		c.gateway.logger.Info().Str("event", "daemon_lost").Str("peer", p.Heartbeat.Daemon).Str("last_seen_by", string(p.LastSeenBy)).Dur("age", now-p.LastSeenAt).Msg("no heartbeat from daemon within the timeout; dropped from the peers")
--- /dev/null
+++ b/gateway/daemons_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/relay"
+	"github.com/hawthornrock/hawthornrock/platform"
+)
+
+// namedBound is how long after its end a daemon may be named to callers, as the platform documents it.
+const namedBound = 6 * time.Second
+
+// A fleet is a number of daemons that write heartbeats in turn, five a second together, to a store. One more, "gone",
+// ended as soon as it had written its last one at time 0.
+type fleet struct{ daemons int }
+
+// heartbeatPause is the time between two heartbeats of a fleet.
+const heartbeatPause = time.Second / maxHeartbeatsPerSecond
+
+// last returns the offset of the last heartbeat of "gone".
+func (f fleet) last() int64 { return int64(10 * f.daemons) }
+
+// end returns the end of the heartbeats at a time.
+func (f fleet) end(at time.Duration) int64 { return f.last() + 1 + int64(at/heartbeatPause) }
+
+// record returns the heartbeat at an offset.
+func (f fleet) record(t *testing.T, offset int64) relay.Record {
+	name := fmt.Sprint("d", offset%int64(f.daemons))
+	if offset == f.last() {
+		name = "gone"
+	}
+	text, err := cbor.Marshal(heartbeat{Daemon: name, Front: name, Incarnation: name + "-1", Ready: true})
+	require.NoError(t, err)
+	return relay.Record{Key: name, Value: text, Offset: offset}
+}
+
+// read returns what a read from an offset on returns that is sent at a time.
+func (f fleet) read(t *testing.T, from int64, at time.Duration) relay.Update {
+	u := relay.Update{From: from, End: f.end(at), ReadAt: at}
+	for offset := from; offset < u.End; offset++ {
+		u.Records = append(u.Records, f.record(t, offset))
+	}
+	return u
+}
+
+// list returns the listing that a read returns that is sent at a time.
+func (f fleet) list(t *testing.T, at time.Duration) relay.Update {
+	u := relay.Update{Whole: true, End: f.end(at), ReadAt: at, Records: []relay.Record{f.record(t, f.last())}}
+	for n, offset := 0, u.End-1; n < f.daemons; offset-- {
+		if offset != f.last() {
+			u.Records = append(u.Records, f.record(t, offset))
+			n++
+		}
+	}
+	return u
+}
+
+// alive returns the daemons that a hub lists.
+func (f fleet) alive() peerStatus {
+	var status peerStatus
+	for n := range f.daemons {
+		status.daemons = append(status.daemons, daemonID(fmt.Sprint("d", n, "-1")))
+	}
+	return status
+}
+
+// receiveUpdate applies an update of the heartbeats that a hub sent.
+func (c *controller) receiveUpdate(t *testing.T, now time.Duration, u relay.Update) {
+	t.Helper()
+	page, ok := c.gateway.peers.applyUpdate(platform.TopicDaemons, "hub", u)
+	require.True(t, ok)
+	c.applyPage(now, page)
+}
+
+// TestEndedDaemonIsListedAgain guards against a daemon that the directory names again after it has ended (DRAIN): a hub that
+// has just started sends its followers a whole listing, in which the store keeps the daemon's last heartbeat.
+func TestEndedDaemonIsListedAgain(t *testing.T) {
+	const step = 600 * time.Millisecond
+	for _, daemons := range []int{9, 72, 295} {
+		for _, after := range []time.Duration{4200 * time.Millisecond, 5400 * time.Millisecond, 16 * time.Second, 20 * time.Second, time.Minute} {
+			t.Run(fmt.Sprint(daemons, "_daemons_", after), func(t *testing.T) {
+				f, c, hub := fleet{daemons: daemons}, newController(), relay.Topic{}
+				c.gateway.daemonsLoaded = make(chan struct{})
+				c.receiveUpdate(t, 0, f.list(t, 0))
+				asked := f.end(0)
+				for now := step; now < after+namedBound; now += step {
+					switch {
+					case now < after:
+						asked = f.end(now)
+						c.receiveUpdate(t, now, f.read(t, f.end(now-step), now))
+					case hub.End() < 0:
+						// The follower asked this hub before the last update of the hub before it arrived.
+						hub.Apply(f.list(t, now))
+						listing, ok := hub.Since(0, asked-1)
+						require.True(t, ok && listing.Whole)
+						c.receiveUpdate(t, now, listing)
+					default:
+						hub.Apply(f.read(t, hub.End(), now))
+						update, ok := hub.Since(0, f.end(now-step))
+						require.True(t, ok)
+						c.receiveUpdate(t, now, update)
+					}
+					c.applyPeerStatus(now, f.alive())
+					c.expirePeers(now)
+					_, named := c.daemons["gone"]
+					require.False(t, named && now >= namedBound, "named %s after its end", now)
+					require.Len(t, c.daemons, daemons+map[bool]int{true: 1}[named], "daemons that are alive after %s", now)
+				}
+			})
+		}
+	}
+}
+
+// TestListedLeaderIsNotSeenAgain guards against waiting longer for a leader that has ended, since a listing repeats its last
+// heartbeat.
+func TestListedLeaderIsNotSeenAgain(t *testing.T) {
+	const term = 3
+	c := newController()
+	c.gateway.daemonsLoaded = make(chan struct{})
+	c.leadership.candidate.ObserveEnd(0, term)
+	text, err := cbor.Marshal(heartbeat{Daemon: "a", Front: "a", Incarnation: "a1", Term: term})
+	require.NoError(t, err)
+	record := relay.Record{Key: "a", Value: text, Offset: 4}
+	c.receiveUpdate(t, 0, relay.Update{Whole: true, End: 4})
+	c.receiveUpdate(t, 0, relay.Update{From: 4, End: 5, Records: []relay.Record{record}})
+	end := tenureTimeouts.ElectionTimeout + time.Millisecond
+	c.receiveUpdate(t, end, relay.Update{Whole: true, End: 5, ReadAt: end, Records: []relay.Record{record}})
+	_, claimable := c.leadership.candidate.ClaimableOffset(end, end)
+	require.True(t, claimable)
+	c.expirePeers(peerTimeout + time.Millisecond)
+	require.Empty(t, c.daemons, "the listing made the daemon look alive")
+}
+
+// TestDaemonListedInACopy guards against a daemon that nobody names after the store came back from a copy, whose offsets are
+// lower than those before.
+func TestDaemonListedInACopy(t *testing.T) {
+	f, c := fleet{daemons: 9}, newController()
+	c.gateway.daemonsLoaded = make(chan struct{})
+	c.receiveUpdate(t, 0, relay.Update{Whole: true, End: f.end(0) + 900, Era: 2})
+	listing := f.list(t, time.Second)
+	listing.Era = 3
+	c.receiveUpdate(t, time.Second, listing)
+	require.Contains(t, c.daemons, "d1")
+}
--- a/gateway/feed.go
+++ b/gateway/feed.go
@@ -41,10 +41,11 @@
 	// from is the incarnation of the hub that sent the update; empty if this daemon read the store.
 	from          string
 	sincePrevious time.Duration
-	// endBefore is the end of the copy of the topic before the update. restored means that the update is the first one
-	// after the store came back from a copy.
-	endBefore int64
-	restored  bool
+	// endBefore is the end of the copy of the topic before the update, and comparable means that there was one and that its
+	// offsets are of the same era. restored means that the update is the first one after the store came back from a copy.
+	endBefore  int64
+	comparable bool
+	restored   bool
 }
 
 // A topicReadFailure reports that a read of a topic failed.
@@ -223,17 +224,25 @@
 // applyTopicUpdate applies an update of a topic that this daemon, or the hub of the incarnation from, has read. The caller
 // holds the lock of the peer state, so that updates reach the controller in order.
 func (g *Gateway) applyTopicUpdate(topic, from string, update relay.Update) {
-	t := g.peers.topic(topic)
+	if page, ok := g.peers.applyUpdate(topic, from, update); ok {
+		g.enqueue(page)
+	} else if update.Whole {
+		g.metrics.events.Add("listings_dropped", 1)
+	}
+}
+
+// applyUpdate applies update to the copy of topic and returns what it adds. It returns false if the update is older than
+// the copy, or does not continue it. The caller holds the lock.
+func (ps *peerState) applyUpdate(topic, from string, update relay.Update) (topicPage, bool) {
+	t := ps.topic(topic)
 	fresh, ok := t.Unseen(update)
 	if !ok {
-		if update.Whole {
-			g.metrics.events.Add("listings_dropped", 1)
-		}
-		return
+		return topicPage{}, false
 	}
 	page := topicPage{topic: topic, update: fresh, from: from, sincePrevious: update.ReadAt - t.ReadAt(), endBefore: t.End()}
+	page.comparable = page.endBefore >= 0 && fresh.Era == t.Era()
 	t.Apply(fresh)
-	g.enqueue(page)
+	return page, true
 }
 
 // readTopic reads topic once: the newest record of each key if whole is set, otherwise the records
