--- a/coordination/presence/presence.go
+++ b/coordination/presence/presence.go
@@ -12,9 +12,11 @@
 type Read struct {
 	// Listing means that the update holds the newest heartbeat of each daemon, not those that follow the copy.
 	Listing bool
-	// Comparable means that there was a copy with offsets of the same era of the store. EndBefore is the end of that copy.
+	// Comparable means that there was a copy with offsets of the same era of the store. EndBefore is the end of that copy,
+	// and PreviousAt is when the read was sent that returned its latest heartbeats.
 	Comparable bool
 	EndBefore  int64
+	PreviousAt time.Duration
 	// End is the offset after the last heartbeat, and Round the number of heartbeats that all daemons write in the
 	// interval of one.
 	End   int64
@@ -59,10 +61,25 @@
 	// unknown age.
 	Alive   time.Duration
 	Undated time.Duration
+	// Lag is how long a heartbeat may take until it is read without counting as older than its arrival. A daemon that has
+	// ended counts as alive for at most Alive and Lag, unless heartbeats cannot be read for longer than both less Outage.
+	Lag time.Duration
+	// Outage is how long a daemon counts as alive after heartbeats could not be read for a while, unless a sign follows.
+	Outage time.Duration
+}
+
+// SeenAt returns when a daemon counts as last seen by a new heartbeat that r returned at now.
+func (t Timeouts) SeenAt(now time.Duration, r Read) time.Duration {
+	return min(now, t.SeenAfterOutage(now, r.PreviousAt+t.Lag))
 }
 
 // SeenAtUndated returns when a daemon counts as last seen by a sign of unknown age at now.
 func (t Timeouts) SeenAtUndated(now time.Duration) time.Duration { return now - t.Alive + t.Undated }
 
+// SeenAfterOutage returns when a daemon that was last seen at seenAt counts as last seen if an outage ends at now.
+func (t Timeouts) SeenAfterOutage(now, seenAt time.Duration) time.Duration {
+	return max(seenAt, now-t.Alive+t.Outage)
+}
+
 // Expired returns whether a daemon that was last seen at seenAt no longer counts as alive at now.
 func (t Timeouts) Expired(now, seenAt time.Duration) bool { return now-seenAt > t.Alive }
--- a/gateway/daemons.go
+++ b/gateway/daemons.go
@@ -80,11 +80,12 @@
 // applyHeartbeats applies heartbeats of daemons.
 func (c *controller) applyHeartbeats(now time.Duration, m topicPage) {
 	if m.sincePrevious > storeOutageThreshold {
-		// Daemons could not write heartbeats during the outage either, so their timeouts start
-		// again.
+		// Daemons could not write heartbeats during the outage either. Those that no hub has heard since may be gone.
 		for key, p := range c.daemons {
-			p.LastSeenAt, p.LastSeenBy = now, byOutage
-			c.daemons[key] = p
+			if at := presenceTimeouts.SeenAfterOutage(now, p.LastSeenAt); at > p.LastSeenAt {
+				p.LastSeenAt, p.LastSeenBy = at, byOutage
+				c.daemons[key] = p
+			}
 		}
 	}
 	var found foundDaemons
@@ -108,7 +109,8 @@
 
 // applyHeartbeat applies the heartbeat h, the record r of m.
 func (c *controller) applyHeartbeat(now time.Duration, m topicPage, r relay.Record, h heartbeat, found *foundDaemons) {
-	sign, own := m.heartbeatRead().Sign(r.Offset), h.Incarnation == c.gateway.incarnation
+	read := m.heartbeatRead()
+	sign, own := read.Sign(r.Offset), h.Incarnation == c.gateway.incarnation
 	if sign == presence.Repeated {
 		found.repeated++
 		return
@@ -141,13 +143,17 @@
 	if !own {
 		c.leadership.candidate.ObserveHeartbeat(now, h.Term, h.Leaving)
 	}
-	c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: now, LastSeenBy: byHeartbeat}
+	c.daemons[r.Key] = Peer{Heartbeat: h, LastSeenAt: presenceTimeouts.SeenAt(now, read), LastSeenBy: byHeartbeat}
 	c.dirty = c.dirty || !known || old.Heartbeat.Incarnation != h.Incarnation || old.Heartbeat.Ready != h.Ready
 }
 
 // presenceTimeouts are how long a daemon counts as alive. A heartbeat of unknown age is followed by another one within one
-// and a half intervals in a small fleet, and by a hub's list of live daemons in a large one.
-var presenceTimeouts = presence.Timeouts{Alive: peerTimeout, Undated: heartbeatInterval * 3 / 2}
+// and a half intervals in a small fleet, and by a hub's list of live daemons in a large one. Alive, Lag and a tick stay below the 6 s
+// after which the platform documents that callers must no longer be sent to a daemon that has ended; Outage and a reader's
+// longest pause stay below the 3 s after an outage of the store from which that holds. Hubs list the live daemons twice in Outage.
+var presenceTimeouts = presence.Timeouts{
+	Alive: peerTimeout, Undated: heartbeatInterval * 3 / 2, Lag: 2200 * time.Millisecond, Outage: 1200 * time.Millisecond,
+}
 
 // extraLeaderHeartbeats is the number of heartbeats that the leader writes beyond one in the interval
 // of the others.
@@ -156,7 +162,8 @@
 // heartbeatRead returns what m, an update of the heartbeats, says of their age.
 func (m topicPage) heartbeatRead() presence.Read {
 	return presence.Read{
-		Listing: m.update.Whole, Comparable: m.comparable, EndBefore: m.endBefore, End: m.update.End, Round: int64(len(m.update.Records)) + extraLeaderHeartbeats,
+		Listing: m.update.Whole, Comparable: m.comparable, EndBefore: m.endBefore, PreviousAt: m.update.ReadAt - m.sincePrevious,
+		End: m.update.End, Round: int64(len(m.update.Records)) + extraLeaderHeartbeats,
 	}
 }
 
--- a/gateway/daemons_test.go
+++ b/gateway/daemons_test.go
@@ -147,3 +147,54 @@
 	c.receiveUpdate(t, time.Second, listing)
 	require.Contains(t, c.daemons, "d1")
 }
+
+// TestOutageRevivesNoDaemon guards against a reader of the store that names a daemon to callers which ended during an outage
+// of the store: stableWindow after the outage it must not, and those that hubs hear from stay named.
+func TestOutageRevivesNoDaemon(t *testing.T) {
+	const (
+		outage       = 8 * time.Second
+		stableWindow = 3 * time.Second
+	)
+	f, c := fleet{daemons: 9}, newController()
+	c.gateway.daemonsLoaded = make(chan struct{})
+	c.receiveUpdate(t, 0, f.list(t, 0))
+	c.recordReadFailure(topicReadFailure{topic: platform.TopicDaemons})
+	for now := membershipInterval; now <= outage; now += membershipInterval {
+		c.applyPeerStatus(now, f.alive())
+		c.expirePeers(now)
+	}
+	// A reader pauses for at most half as long again as maxHubBackoff. Some heartbeats were written before the outage.
+	back := outage + maxHubBackoff*3/2
+	update := f.read(t, f.end(0), 3*heartbeatPause)
+	update.ReadAt = back
+	for now := back; now < outage+stableWindow; now += tickInterval {
+		if now == back {
+			c.receiveUpdate(t, now, update)
+		}
+		c.applyPeerStatus(now, f.alive())
+		c.expirePeers(now)
+	}
+	require.NotContains(t, c.daemons, "gone")
+	require.Len(t, c.daemons, f.daemons)
+}
+
+// TestHeartbeatReadLate guards against a daemon that is named for as long after a late read of its last heartbeat as after
+// one in time.
+func TestHeartbeatReadLate(t *testing.T) {
+	for _, pause := range []time.Duration{600 * time.Millisecond, 1800 * time.Millisecond, 2400 * time.Millisecond, 3600 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			f, c := fleet{daemons: 9}, newController()
+			c.gateway.daemonsLoaded = make(chan struct{})
+			before := relay.Update{Whole: true, End: f.last(), ReadAt: time.Second}
+			c.receiveUpdate(t, time.Second, before)
+			now := before.ReadAt + pause
+			update := f.read(t, f.last(), 0)
+			update.ReadAt = now
+			c.receiveUpdate(t, now, update)
+			c.expirePeers(now)
+			require.Contains(t, c.daemons, "gone")
+			c.expirePeers(before.ReadAt + namedBound - tickInterval)
+			require.NotContains(t, c.daemons, "gone")
+		})
+	}
+}
