--- a/gateway/daemons_test.go
+++ b/gateway/daemons_test.go
@@ -198,3 +198,43 @@
 		})
 	}
 }
+
+// TestHubThatWakes guards against a hub that was suspended, or has much to read, and lists a daemon that ended meanwhile: its
+// last messages lie in a connection.
+func TestHubThatWakes(t *testing.T) {
+	const ahead = time.Hour
+	for _, fromHub := range []bool{false, true} {
+		t.Run(fmt.Sprint("from_hub_", fromHub), func(t *testing.T) {
+			g := newController().gateway
+			receive := func(from string, sentAt, receivedAt time.Duration) {
+				m := peerMessage{From: from, FromHub: fromHub, Timestamp: ahead + sentAt}
+				m.Summary.Daemons = []uint64{daemonID(from)}
+				g.peers.recordPeerSummary(m, receivedAt)
+			}
+			for at := time.Second; at < 4*time.Second; at += statusInterval {
+				receive("gone", at, at+5*time.Millisecond)
+				receive("live", at, at+10*time.Millisecond)
+			}
+			require.ElementsMatch(t, []uint64{daemonID("gone"), daemonID("live")}, g.summaryExcluding("", 4*time.Second).Daemons)
+			const wakes = 9 * time.Second
+			g.summaryExcluding("", wakes)
+			receive("gone", 4*time.Second, wakes)
+			receive("live", 4*time.Second, wakes)
+			receive("live", wakes-statusInterval, wakes+time.Millisecond)
+			require.Equal(t, []uint64{daemonID("live")}, g.summaryExcluding("", wakes+2*time.Millisecond).Daemons)
+		})
+	}
+}
+
+// TestListThatArrivesLate guards against a hub's list of live daemons that a daemon finds in a connection long after the hub
+// sent it, and takes for one of that moment.
+func TestListThatArrivesLate(t *testing.T) {
+	c := newController()
+	c.receiveHeartbeats(t, 0, false, heartbeat{Daemon: "it", Front: "it", Incarnation: "it1", Ready: true})
+	const delay = 2 * time.Second
+	c.applyPeerStatus(3*time.Second, peerStatus{daemons: []uint64{daemonID("it1")}, delay: delay})
+	c.expirePeers(3*time.Second - delay - membershipInterval + peerTimeout)
+	require.Contains(t, c.daemons, "it")
+	c.expirePeers(3*time.Second - delay - membershipInterval + peerTimeout + 1)
+	require.NotContains(t, c.daemons, "it")
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornrock/hawthornrock/coordination/dispatch"
 	"github.com/hawthornrock/hawthornrock/coordination/level"
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
+	"github.com/hawthornrock/hawthornrock/coordination/presence"
 	"github.com/hawthornrock/hawthornrock/coordination/quarantine"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 	"github.com/hawthornrock/hawthornrock/platform"
@@ -44,6 +45,8 @@
 	// maxForwardedReadAge is the same for updates that a hub has from another hub: one more
 	// message.
 	maxForwardedReadAge = maxHubReadAge + 2*statusInterval
+	// answerTime is how long a hub may take to answer without its list of the live daemons counting as older.
+	answerTime = 200 * time.Millisecond
 	// membershipInterval is the time between two messages that list the live daemons and the work
 	// at replicas of other failure domains, and membershipTTL is how long these count.
 	membershipInterval = 500 * time.Millisecond
@@ -62,7 +65,7 @@
 type peerMessage struct {
 	From string `cbor:"1,keyasint"`
 	// PeerAddress and Secret are where and how to answer. A daemon that requests updates sets
-	// Offsets, the offset from which it wants the records of each topic, and Timestamp, its clock.
+	// Offsets, the offset from which it wants the records of each topic. Timestamp is its clock, in all messages to hubs.
 	PeerAddress string           `cbor:"2,keyasint,omitempty"`
 	Secret      string           `cbor:"3,keyasint,omitempty"`
 	Offsets     map[string]int64 `cbor:"4,keyasint,omitempty"`
@@ -114,7 +117,9 @@
 	mu            sync.Mutex
 	topics        map[string]*relay.Topic
 	peerSummaries map[string]peerSummary
-	senders       map[string]*peerSender
+	// transits is what is known of the way of the messages of other daemons, by incarnation.
+	transits map[string]*presence.Transit
+	senders  map[string]*peerSender
 	// exchangers are the links for detours, by incarnation.
 	exchangers map[string]*link.Exchanger[detourRequest, detourPart]
 	// lastSent holds the last update that was sent, by follower and topic.
@@ -263,12 +268,12 @@
 // the lock.
 func (g *Gateway) sendStatus(ctx context.Context, h heartbeat, m peerMessage, request bool, now time.Duration) {
 	ps := &g.peers
-	m.Changes, m.Limits = ps.announcements.unsentTo(h.Incarnation), g.limitsFor(h.Incarnation, now)
+	m.Changes, m.Limits, m.Timestamp = ps.announcements.unsentTo(h.Incarnation), g.limitsFor(h.Incarnation, now), now
 	if !ps.membershipDue(h.Incarnation, now) {
 		m.Summary.Daemons = nil
 	}
 	if request {
-		m.PeerAddress, m.Secret, m.Timestamp, m.Offsets = g.settings.Peer, g.secret, now, make(map[string]int64)
+		m.PeerAddress, m.Secret, m.Offsets = g.settings.Peer, g.secret, make(map[string]int64)
 		for _, topic := range followedTopics {
 			t := ps.topic(topic)
 			m.Offsets[topic] = t.End()
@@ -392,6 +397,7 @@
 	}
 	ps.announcements.dropUnlinked(func(incarnation string) bool { _, ok := ps.senders[incarnation]; return ok })
 	maps.DeleteFunc(ps.limitsSent, func(_ string, s limitsSent) bool { return now-s.allAt > 2*limitsInterval })
+	maps.DeleteFunc(ps.transits, func(_ string, t *presence.Transit) bool { return now-t.ReceivedAt() > transitTTL })
 	maps.DeleteFunc(ps.membershipSentAt, func(_ string, at time.Duration) bool { return now-at > senderIdleTimeout })
 	for key, s := range ps.lastSent {
 		if now-s.at > time.Minute {
@@ -513,7 +519,9 @@
 		if len(m.Usage) > 0 {
 			g.tracker.setPeerUsage(m.Usage, now)
 		}
-		g.enqueue(peerStatus{daemons: m.Summary.Daemons, summary: m.Summary})
+		// The hub made the list after the request was sent.
+		delay := max(now-m.EchoTimestamp-answerTime, 0)
+		g.enqueue(peerStatus{daemons: m.Summary.Daemons, summary: m.Summary, delay: delay})
 	}
 	ps.lastAnswerAt = now
 	g.recordMissingTopics(m)
--- a/gateway/sums.go
+++ b/gateway/sums.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hawthornrock/hawthornrock/coordination/presence"
 	"github.com/hawthornrock/hawthornrock/coordination/relay"
 )
 
@@ -19,6 +20,27 @@
 	daemonsAt time.Duration
 }
 
+// transitTTL is how long what is known of the way of a sender's messages is kept after the last one: longer than this
+// daemon may be suspended while messages wait in its connections.
+const transitTTL = 10 * time.Minute
+
+// sentAt returns when m was sent, by the clock of this daemon, as of its arrival at now. The caller holds the lock.
+func (ps *peerState) sentAt(m peerMessage, now time.Duration) time.Duration {
+	if m.Timestamp == 0 {
+		// Older builds tell their clocks only to the hubs that they follow.
+		return now
+	}
+	if ps.transits == nil {
+		ps.transits = make(map[string]*presence.Transit)
+	}
+	t := ps.transits[m.From]
+	if t == nil {
+		t = &presence.Transit{}
+		ps.transits[m.From] = t
+	}
+	return now - t.Delay(m.Timestamp, now)
+}
+
 // recordPeerSummary records the work of the sender of m. Only some messages list the live daemons,
 // so the last list is kept. The caller holds the lock.
 func (ps *peerState) recordPeerSummary(m peerMessage, now time.Duration) {
@@ -27,10 +49,13 @@
 	}
 	p := peerSummary{
 		summary: m.Summary, usage: m.Usage, receivedAt: now, fromHub: m.FromHub,
-		daemons: m.Summary.Daemons, daemonsAt: now,
+		daemons: m.Summary.Daemons, daemonsAt: ps.sentAt(m, now),
 	}
 	if len(p.daemons) == 0 {
-		p.daemons, p.daemonsAt = ps.peerSummaries[m.From].daemons, ps.peerSummaries[m.From].daemonsAt
+		p.daemons = ps.peerSummaries[m.From].daemons
+		if m.FromHub {
+			p.daemonsAt = ps.peerSummaries[m.From].daemonsAt
+		}
 	}
 	p.summary.Daemons = nil
 	ps.peerSummaries[m.From] = p
@@ -102,7 +127,12 @@
 		return relay.Summary{}
 	}
 	out := relay.Summary{Loads: make(map[int64]relay.ReplicaLoad, len(p.summary.Loads)), Demand: p.summary.Demand, Traffic: p.summary.Traffic}
-	if now-p.daemonsAt <= membershipTTL {
+	// A hub repeats its list in some of its messages only, and a follower reports itself, as each of its messages does.
+	listTTL := maxStatusAge
+	if p.fromHub {
+		listTTL = membershipTTL
+	}
+	if now-p.daemonsAt <= listTTL {
 		out.Daemons = p.daemons
 	}
 	for epoch, w := range p.summary.Loads {
