--- a/soakcmd.go
+++ b/soakcmd.go
@@ -48,6 +48,7 @@
 	f.BoolVar(&c.plan.Drills, "drills", false, "let the store come back from copies")
 	f.BoolVar(&c.plan.Outages, "outages", false, "let the store be away at the same times, without copies")
 	f.BoolVar(&c.plan.Changes, "changes", false, "add routes and take them away, and check what daemons serve")
+	f.BoolVar(&c.plan.Departures, "departures", false, "end daemons for a while, others as well, and check whom the directory names; with -no-faults")
 	f.BoolVar(&c.plan.NoFaults, "no-faults", false, "inject no other faults")
 	f.StringVar(&c.plan.Program, "program", "", "executable of the daemons; this one if empty")
 	f.StringVar(&c.log, "log", "", "file for the daemons' output")
