--- a/gateway/daemons.go
+++ b/gateway/daemons.go
@@ -180,12 +180,10 @@
 	c.leadership.candidate.ObserveHeartbeat(now, ended.Term, true)
 }
 
-// A peerStatus lists the daemons that hubs receive messages from, and the work of all of them. delay is how much longer
-// than usual it was on its way.
+// A peerStatus lists the daemons that hubs receive messages from, and the work of all of them.
 type peerStatus struct {
 	daemons []uint64
 	summary relay.Summary
-	delay   time.Duration
 }
 
 // applyPeerStatus refreshes the daemons that are alive, records the work of all, and probes the
@@ -199,7 +197,7 @@
 	for key, p := range c.daemons {
 		if alive[daemonID(p.Heartbeat.Incarnation)] {
 			// The list may be that old.
-			if at := now - membershipInterval - m.delay; at > p.LastSeenAt {
+			if at := now - membershipInterval; at > p.LastSeenAt {
 				p.LastSeenAt, p.LastSeenBy = at, byHub
 			}
 			c.daemons[key] = p
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -45,8 +45,6 @@
 	// maxForwardedReadAge is the same for updates that a hub has from another hub: one more
 	// message.
 	maxForwardedReadAge = maxHubReadAge + 2*statusInterval
-	// answerTime is how long a hub may take to answer without its list of the live daemons counting as older.
-	answerTime = 200 * time.Millisecond
 	// membershipInterval is the time between two messages that list the live daemons and the work
 	// at replicas of other failure domains, and membershipTTL is how long these count.
 	membershipInterval = 500 * time.Millisecond
@@ -519,9 +517,12 @@
 		if len(m.Usage) > 0 {
 			g.tracker.setPeerUsage(m.Usage, now)
 		}
-		// The hub made the list after the request was sent.
-		delay := max(now-m.EchoTimestamp-answerTime, 0)
-		g.enqueue(peerStatus{daemons: m.Summary.Daemons, summary: m.Summary, delay: delay})
+		status := peerStatus{daemons: m.Summary.Daemons, summary: m.Summary}
+		if now-m.EchoTimestamp > maxStatusAge {
+			// The list may be as old as the request.
+			status.daemons = nil
+		}
+		g.enqueue(status)
 	}
 	ps.lastAnswerAt = now
 	g.recordMissingTopics(m)
--- a/gateway/sums.go
+++ b/gateway/sums.go
@@ -24,11 +24,12 @@
 // daemon may be suspended while messages wait in its connections.
 const transitTTL = 10 * time.Minute
 
-// sentAt returns when m was sent, by the clock of this daemon, as of its arrival at now. The caller holds the lock.
-func (ps *peerState) sentAt(m peerMessage, now time.Duration) time.Duration {
+// isLate returns whether m, which arrived at now, was on its way for longer than a status counts. This daemon was suspended,
+// or had much to read. The caller holds the lock.
+func (ps *peerState) isLate(m peerMessage, now time.Duration) bool {
 	if m.Timestamp == 0 {
 		// Older builds tell their clocks only to the hubs that they follow.
-		return now
+		return false
 	}
 	if ps.transits == nil {
 		ps.transits = make(map[string]*presence.Transit)
@@ -38,24 +39,21 @@
 		t = &presence.Transit{}
 		ps.transits[m.From] = t
 	}
-	return now - t.Delay(m.Timestamp, now)
+	return t.Delay(m.Timestamp, now) > maxStatusAge
 }
 
 // recordPeerSummary records the work of the sender of m. Only some messages list the live daemons,
-// so the last list is kept. The caller holds the lock.
+// so the last list is kept, and so it is if m is late. The caller holds the lock.
 func (ps *peerState) recordPeerSummary(m peerMessage, now time.Duration) {
 	if ps.peerSummaries == nil {
 		ps.peerSummaries = make(map[string]peerSummary)
 	}
 	p := peerSummary{
 		summary: m.Summary, usage: m.Usage, receivedAt: now, fromHub: m.FromHub,
-		daemons: m.Summary.Daemons, daemonsAt: ps.sentAt(m, now),
+		daemons: m.Summary.Daemons, daemonsAt: now,
 	}
-	if len(p.daemons) == 0 {
-		p.daemons = ps.peerSummaries[m.From].daemons
-		if m.FromHub {
-			p.daemonsAt = ps.peerSummaries[m.From].daemonsAt
-		}
+	if late := ps.isLate(m, now); late || len(p.daemons) == 0 {
+		p.daemons, p.daemonsAt = ps.peerSummaries[m.From].daemons, ps.peerSummaries[m.From].daemonsAt
 	}
 	p.summary.Daemons = nil
 	ps.peerSummaries[m.From] = p
@@ -127,12 +125,7 @@
 		return relay.Summary{}
 	}
 	out := relay.Summary{Loads: make(map[int64]relay.ReplicaLoad, len(p.summary.Loads)), Demand: p.summary.Demand, Traffic: p.summary.Traffic}
-	// A hub repeats its list in some of its messages only, and a follower reports itself, as each of its messages does.
-	listTTL := maxStatusAge
-	if p.fromHub {
-		listTTL = membershipTTL
-	}
-	if now-p.daemonsAt <= listTTL {
+	if now-p.daemonsAt <= membershipTTL {
 		out.Daemons = p.daemons
 	}
 	for epoch, w := range p.summary.Loads {
