--- a/gateway/control.go
+++ b/gateway/control.go
@@ -30,11 +30,13 @@
 	domainsOut          map[string]bool
 	servers             roster
 	daemons             map[string]Peer
-	loadedTopics        map[string]bool
-	failedTopics        map[string]bool
-	brokenEntries       map[string]int64
-	leadership          leadership
-	levels              level.Fleet
+	// dropped holds the daemons that no longer count as alive, as they were last seen, by front address.
+	dropped       map[string]Peer
+	loadedTopics  map[string]bool
+	failedTopics  map[string]bool
+	brokenEntries map[string]int64
+	leadership    leadership
+	levels        level.Fleet
 	// operatorsReadAt is when the latest successful read of the operators' topic was sent, and
 	// peerSummary is the work of all other daemons.
 	operatorsReadAt time.Duration
@@ -60,7 +62,7 @@
 		return slog.New(slog.DiscardHandler)
 	}))
 	c := &controller{
-		gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), loadedTopics: make(map[string]bool),
+		gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), dropped: make(map[string]Peer), loadedTopics: make(map[string]bool),
 		failedTopics: make(map[string]bool), brokenEntries: make(map[string]int64), dirty: true,
 	}
 	c.leadership.dead, c.leadership.aliveAt = make(map[string]deadServer), make(map[string]time.Duration)
--- a/gateway/control_test.go
+++ b/gateway/control_test.go
@@ -21,7 +21,7 @@
 // nothing yet.
 func newController() *controller {
 	g := New(site.Settings{Daemon: "self", Front: "self"}, &log.Logger{Level: log.PanicLevel}, noop.NewTracerProvider().Tracer("test"))
-	c := &controller{gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), loadedTopics: make(map[string]bool), failedTopics: make(map[string]bool), brokenEntries: make(map[string]int64)}
+	c := &controller{gateway: g, domainsOut: make(map[string]bool), daemons: make(map[string]Peer), dropped: make(map[string]Peer), loadedTopics: make(map[string]bool), failedTopics: make(map[string]bool), brokenEntries: make(map[string]int64)}
 	c.leadership.candidate.Timeouts = tenureTimeouts
 	return c
 }
--- a/gateway/daemons.go
+++ b/gateway/daemons.go
@@ -111,6 +111,10 @@
 func (c *controller) applyHeartbeat(now time.Duration, m topicPage, r relay.Record, h heartbeat, found *foundDaemons) {
 	read := m.heartbeatRead()
 	sign, own := read.Sign(r.Offset), h.Incarnation == c.gateway.incarnation
+	if p, ok := c.dropped[r.Key]; ok && sign != presence.New && p.Heartbeat.Incarnation == h.Incarnation {
+		// A copy of the store, whose offsets say nothing, has the heartbeat of before it was dropped.
+		sign = presence.Repeated
+	}
 	if sign == presence.Repeated {
 		found.repeated++
 		return
@@ -119,6 +123,7 @@
 		c.gateway.learnFindings(h)
 	}
 	old, known := c.daemons[r.Key]
+	delete(c.dropped, r.Key)
 	if sign != presence.New && known {
 		// What is known may be newer, and the daemon soon writes again.
 		c.leadership.candidate.ObserveHeartbeat(now, h.Term, false)
@@ -186,23 +191,23 @@
 	summary relay.Summary
 }
 
-// applyPeerStatus refreshes the daemons that are alive, records the work of all, and probes the
-// replicas that have stalled for other daemons.
+// applyPeerStatus refreshes the daemons that are alive, takes up those that had been dropped, records the work of all, and
+// probes the replicas that have stalled for other daemons.
 func (c *controller) applyPeerStatus(now time.Duration, m peerStatus) {
 	c.peerSummary = m.summary
 	alive := make(map[uint64]bool, len(m.daemons))
 	for _, name := range m.daemons {
 		alive[name] = true
 	}
+	// The list may be that old.
+	seenAt := now - membershipInterval
 	for key, p := range c.daemons {
-		if alive[daemonID(p.Heartbeat.Incarnation)] {
-			// The list may be that old.
-			if at := now - membershipInterval; at > p.LastSeenAt {
-				p.LastSeenAt, p.LastSeenBy = at, byHub
-			}
+		if alive[daemonID(p.Heartbeat.Incarnation)] && seenAt > p.LastSeenAt {
+			p.LastSeenAt, p.LastSeenBy = seenAt, byHub
 			c.daemons[key] = p
 		}
 	}
+	c.takeUpDropped(seenAt, alive)
 	for epoch, w := range m.summary.Loads {
 		if w.Stalled > 0 {
 			c.probeEpoch(now, epoch)
@@ -210,6 +215,30 @@
 	}
 }
 
+// takeUpDropped takes up the daemons that had been dropped and are alive according to a hub's list of seenAt: they were
+// suspended or cut off, and in a large fleet their next heartbeat may be a minute away.
+func (c *controller) takeUpDropped(seenAt time.Duration, alive map[uint64]bool) {
+	var found foundDaemons
+	for key, p := range c.dropped {
+		if _, known := c.daemons[key]; known || !alive[daemonID(p.Heartbeat.Incarnation)] || seenAt <= p.LastSeenAt {
+			continue
+		}
+		found.add(p.Heartbeat)
+		p.LastSeenAt, p.LastSeenBy = seenAt, byHub
+		c.daemons[key] = p
+		delete(c.dropped, key)
+		c.dirty = true
+	}
+	if found.count > 0 {
+		c.gateway.logger.Info().Str("event", "daemons_found").Strs("peers", found.names).Int("found", found.count).Str("by", string(byHub)).
+			Msg("daemons that had been dropped are in a hub's list of live daemons")
+	}
+}
+
+// droppedTTL is how long a daemon that was dropped may be taken up again by a hub's list: longer than the interval of
+// heartbeats of any fleet, by which it is taken up later.
+const droppedTTL = 10 * time.Minute
+
 // expirePeers removes the daemons whose heartbeats have timed out, and returns whether there were
 // any. It removes none while heartbeats cannot be read.
 func (c *controller) expirePeers(now time.Duration) bool {
@@ -217,11 +246,15 @@
 		return false
 	}
 	n := len(c.daemons)
-	maps.DeleteFunc(c.daemons, func(_ string, p Peer) bool {
+	maps.DeleteFunc(c.dropped, func(_ string, p Peer) bool { return now-p.LastSeenAt > droppedTTL })
+	maps.DeleteFunc(c.daemons, func(key string, p Peer) bool {
 		if !presenceTimeouts.Expired(now, p.LastSeenAt) || p.Heartbeat.Incarnation == c.gateway.incarnation {
 			return false
 		}
 		c.gateway.logger.Info().Str("event", "daemon_lost").Str("peer", p.Heartbeat.Daemon).Str("last_seen_by", string(p.LastSeenBy)).Dur("age", now-p.LastSeenAt).Msg("no heartbeat from daemon within the timeout; dropped from the peers")
+		// Its findings have been learned.
+		p.Heartbeat.Findings, p.Heartbeat.PartFindings = nil, nil
+		c.dropped[key] = p
 		return true
 	})
 	return len(c.daemons) != n
--- a/gateway/daemons_test.go
+++ b/gateway/daemons_test.go
@@ -117,6 +117,43 @@
 	}
 }
 
+// TestDroppedDaemonIsTakenUp guards against a daemon that lives and is not named for up to a minute, as it was suspended or
+// cut off: in a large fleet its next heartbeat is that far away, but hubs hear it again at once.
+func TestDroppedDaemonIsTakenUp(t *testing.T) {
+	for _, daemons := range []int{9, 72, 295} {
+		t.Run(fmt.Sprint(daemons, "_daemons"), func(t *testing.T) {
+			f, c := fleet{daemons: daemons}, newController()
+			c.gateway.daemonsLoaded = make(chan struct{})
+			c.receiveUpdate(t, 0, f.list(t, 0))
+			c.expirePeers(peerTimeout)
+			require.Empty(t, c.daemons)
+			now := peerTimeout + time.Second
+			c.applyPeerStatus(now, f.alive())
+			require.Len(t, c.daemons, daemons)
+			require.NotContains(t, c.daemons, "gone")
+			c.expirePeers(now - membershipInterval + peerTimeout)
+			require.Len(t, c.daemons, daemons)
+			c.expirePeers(now - membershipInterval + peerTimeout + 1)
+			require.Empty(t, c.daemons, "a list counts for as long as one that prolongs a daemon")
+		})
+	}
+}
+
+// TestDroppedDaemonInACopy guards against a daemon that has ended and is named again after the store came back from a copy.
+func TestDroppedDaemonInACopy(t *testing.T) {
+	f, c := fleet{daemons: 9}, newController()
+	c.gateway.daemonsLoaded = make(chan struct{})
+	listing := f.list(t, 0)
+	listing.Era = 2
+	c.receiveUpdate(t, 0, listing)
+	c.expirePeers(peerTimeout)
+	listing.Era, listing.ReadAt = 3, peerTimeout
+	c.receiveUpdate(t, peerTimeout, listing)
+	require.NotContains(t, c.daemons, "gone")
+	c.applyPeerStatus(peerTimeout, f.alive())
+	require.Len(t, c.daemons, f.daemons)
+}
+
 // TestListedLeaderIsNotSeenAgain guards against waiting longer for a leader that has ended, since a listing repeats its last
 // heartbeat.
 func TestListedLeaderIsNotSeenAgain(t *testing.T) {
