--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -35,6 +35,8 @@
 	// closedAt is when the head was known to have stopped serving. It is zero if the head was ordered to open or listed as
 	// open since. Times cannot show which came first: the list may show the close in the step that orders to open.
 	closedAt time.Duration
+	// evidence is what showed it.
+	evidence Evidence
 	// closeOrdered means that the head was ordered to stop serving since it was last ordered to open.
 	closeOrdered bool
 	// seenAt is when the replica last had a member or a server held for it.
@@ -82,9 +84,9 @@
 	h.openOrderedAt, h.closedAt, h.closeOrdered = now, 0, false
 }
 
-// recordAnswer records the answer to o, an order to h. mayRejoin means that an order carried out late
+// recordHeadAnswer records the answer to o, an order to h. mayRejoin means that an order carried out late
 // may make h join its replica again.
-func (h *head) recordAnswer(now time.Duration, o Order, a Answer, mayRejoin bool) {
+func (p *Planner) recordHeadAnswer(now time.Duration, h *head, o Order, a Answer, mayRejoin bool) {
 	h.absent = h.absent || a == Absent
 	if o.SentAt < h.openOrderedAt && a != Unknown {
 		// The head was ordered to open since, and the answer says nothing about that.
@@ -96,16 +98,19 @@
 			h.openUnansweredAt = now
 		}
 		if a == Declined || a == Fenced {
-			h.closedAt = now
+			p.recordClosed(now, h, OpenRefused)
 		}
 	case Preempt:
 		// A head that declines is not serving.
-		if a == Accepted || a == Declined {
-			h.closedAt = now
+		if a == Accepted {
+			p.recordClosed(now, h, StopAccepted)
+		}
+		if a == Declined {
+			p.recordClosed(now, h, StopDeclined)
 		}
 	case Leave:
 		if a == Accepted {
-			h.closedAt = now
+			p.recordClosed(now, h, LeaveAccepted)
 		}
 		if a == Accepted && !mayRejoin {
 			// An order to open that arrives now is declined.
@@ -168,6 +173,7 @@
 	_, known := s.planner.heads[group]
 	h := s.head(group)
 	was, is := h.server.Member.State, server.Member.State
+	closed, reopened := false, false
 	switch {
 	case !known:
 		if notYetOpen(is) && server.Member.Epoch < s.planner.term*epochsPerTerm {
@@ -181,13 +187,20 @@
 		if is <= site.Ready && h.closeOrdered {
 			// The list no longer shows the head as open, so it has closed. Without an order to close it
 			// may only lag behind what the head reported.
-			h.closedAt = s.now
+			closed = true
 		}
 	case is == site.Open:
 		// An order to open was carried out.
-		h.closedAt = 0
+		reopened = h.closedAt > 0
 	}
 	h.server, h.unlisted = server, false
+	if closed {
+		s.planner.recordClosed(s.now, h, ListedClosed)
+	}
+	if reopened {
+		s.planner.recordContradiction(s.now, h)
+		h.closedAt = 0
+	}
 }
 
 // closeHead keeps the members of r busy until its head has closed.
--- a/coordination/formation/order.go
+++ b/coordination/formation/order.go
@@ -33,7 +33,8 @@
 func (a Action) stops() bool { return a == Close || a == Preempt || a == Leave }
 
 // An Order is one order to one server. Fence is the term of the leader that sends it, at SentAt. Members
-// are server ids in rank order, the head first.
+// are server ids in rank order, the head first. Previous is what an order to join relies on: what is known of the replica
+// that the server is listed in, or left.
 type Order struct {
 	Server  string
 	Address string
@@ -44,6 +45,8 @@
 	Members []string
 	Fence   int64
 	SentAt  time.Duration
+
+	Previous Closure
 }
 
 // An Answer is the result of sending an order.
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -77,6 +77,8 @@
 	repairs  []Repair
 	stopped  []StoppedReplica
 	reformed []Reform
+	// closures collects the result of Closures.
+	closures []Closure
 	// highestEpoch is the highest epoch of the orders to join that were sent to each server.
 	highestEpoch map[string]int64
 	// successorOrdered holds the lost replicas whose successor has already been ordered.
@@ -153,7 +155,7 @@
 		opening := o.Action == Preempt && h.opening(now, p.formTime)
 		if !opening || a == Absent {
 			join := p.unansweredJoins[o.Server]
-			h.recordAnswer(now, o, a, join.group == o.Group && join.mayTakeEffect(now))
+			p.recordHeadAnswer(now, h, o, a, join.group == o.Group && join.mayTakeEffect(now))
 		}
 		soon = soon || opening
 	}
@@ -323,6 +325,7 @@
 func (s *step) orderJoin(server site.Server, name string, f *formingReplica) {
 	s.order(Order{
 		Server: server.ID, Address: server.Address, Action: Join, Group: name, Epoch: f.epoch, Model: f.model, Members: f.members,
+		Previous: s.previous(server, name),
 	})
 }
 
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -314,6 +314,9 @@
 		c.gateway.logger.Info().Str("event", "replica_reformed").Str("group", r.Replica).Str("model", r.Model).Int("slow", r.Slow).
 			Msg("replica is formed anew without its slow members")
 	}
+	for _, e := range c.leadership.planner.Closures() {
+		c.logClosure(e)
+	}
 	for _, e := range c.leadership.planner.StoppedReplicas() {
 		c.broadcastChange(replicaChange{Group: e.Replica, Epoch: e.Epoch})
 	}
@@ -329,6 +332,17 @@
 	c.logFleet(now, f)
 }
 
+// logClosure logs that a head is taken to have stopped serving, or that the list contradicts that.
+func (c *controller) logClosure(e formation.Closure) {
+	event, text := "head_closed", "head is taken to have stopped serving"
+	if e.Contradicted {
+		event, text = "head_found_open", "the list shows a head open that was taken to have stopped serving"
+		c.gateway.metrics.events.Add("heads_found_open", 1)
+	}
+	c.gateway.logger.Info().Str("event", event).Str("server", e.Head).Str("group", e.Replica).Int64("epoch", e.Epoch).Int64("term", c.leadership.term).
+		Str("evidence", e.Evidence.String()).Dur("evidence_age", e.Age).Str("listed", e.Listed.String()).Msg(text)
+}
+
 // reprobe probes s, unless that was done within the last probeInterval.
 func (c *controller) reprobe(now time.Duration, s site.Server) {
 	if c.probeDue(now, s.ID) {
@@ -390,8 +404,13 @@
 // sendOrder sends an order on its own goroutine, unless this daemon's term has ended by then.
 func (c *controller) sendOrder(o formation.Order) {
 	g, term, until := c.gateway, c.leadership.term, c.leadership.candidate.LeaseExpiry()
+	queuedAt := clock.Boot()
 	g.work.Go(context.Background(), "order", func(ctx context.Context) error {
-		if clock.Boot() >= until {
+		if now := clock.Boot(); now >= until {
+			g.metrics.events.Add("orders_unsent", 1)
+			g.logger.Warn().Str("event", "order_unsent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
+				Int64("epoch", o.Epoch).Int64("term", term).Dur("waited", now-queuedAt).Dur("lapsed", now-until).
+				Msg("lease ran out before the order could be sent")
 			g.enqueue(orderResult{order: o, answer: formation.Declined, term: term})
 			return nil
 		}
@@ -406,7 +425,10 @@
 	g.metrics.orders.Add(o.Action.String(), 1)
 	answer, err := g.engines.Order(ctx, o)
 	line := g.logger.Info().Str("event", "order").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-		Int64("epoch", o.Epoch).Int64("term", term).Str("model", o.Model).Str("answer", answer.String())
+		Int64("epoch", o.Epoch).Int64("term", term).Str("model", o.Model).Str("answer", answer.String()).Dur("took", clock.Boot()-began)
+	if p := o.Previous; p.Replica != "" {
+		line = line.Str("previous", p.Replica).Str("previous_head", p.Head).Str("evidence", p.Evidence.String()).Dur("evidence_age", p.Age).Str("listed", p.Listed.String())
+	}
 	if err != nil {
 		line = line.Err(err)
 	}
--- a/state/site/server.go
+++ b/state/site/server.go
@@ -21,6 +21,11 @@
 	Broken
 )
 
+// String returns the name of m.
+func (m MemberState) String() string {
+	return [...]string{"unassigned", "joining", "ready", "open", "closing", "broken"}[m]
+}
+
 // A Membership is the membership in a replica that a server reports. Group is the replica; Group and
 // Epoch together identify one list of members. The member of rank 0 is the head.
 type Membership struct {
