--- /dev/null
+++ b/coordination/formation/evidence_test.go
@@ -0,0 +1,81 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// TestListIsNoProofOfAClose guards against a server in two replicas (TWO): the orders to stop a head have no answer, and the
+// list shows the head as it was before it opened.
+func TestListIsNoProofOfAClose(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shown site.MemberState
+	}{{"ready", site.Ready}, {"joining", site.Joining}} {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 5)
+			sim.run(8 * time.Second)
+			sim.stageIdle("large")
+			sim.fleet.TrafficStarted = true
+			head, others := sim.head("large")
+			sim.unanswered = func(o formation.Order) bool { return o.Action == formation.Preempt }
+			countAsDead(sim, others[0])
+			sim.run(step)
+			require.Equal(t, head, sim.lastOrder(formation.Preempt).Server)
+			sim.showEarlier(head, sim.actual[head].Member.Group, tc.shown)
+			// The simulation checks every join.
+			sim.run(3 * time.Second)
+			delete(sim.frozen, head)
+			sim.unanswered = nil
+			sim.run(10 * time.Second)
+			require.Equal(t, 1, sim.open()["large"], "the others should serve again")
+		})
+	}
+}
+
+// TestHeadListedWhereItWasBefore guards against a head that is ordered out of its open replica (TWO): a new leader reads a list
+// that shows the head in the replica that it was in before, for which the head declines all orders.
+func TestHeadListedWhereItWasBefore(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		group string
+		shown site.MemberState
+	}{
+		{"ready", "small/1/0", site.Ready},
+		{"open", "small/1/0", site.Open},
+		{"broken", "small/1/0", site.Broken},
+		{"in_none", "", site.Unassigned},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 5)
+			sim.run(8 * time.Second)
+			sim.stageIdle("small")
+			sim.fleet.TrafficStarted = true
+			head, _ := sim.head("large")
+			sim.showEarlier(head, tc.group, tc.shown)
+			sim.changeLeader()
+			// The simulation checks every join.
+			sim.run(3 * time.Second)
+			delete(sim.frozen, head)
+			sim.run(15 * time.Second)
+			require.NotEmpty(t, sim.open())
+		})
+	}
+}
+
+// showEarlier makes the list show a server as it was in a replica before, with the small model on its host.
+func (sim *simulation) showEarlier(id, group string, state site.MemberState) {
+	s := sim.actual[id]
+	if s.Member.Group != group {
+		s.Member = site.Membership{Group: group, Epoch: s.Member.Epoch - 1}
+	}
+	if s.Member.State, s.Staged = state, []string{"small"}; group == "" {
+		s.Member = site.Membership{}
+	}
+	sim.fleet.Servers[id], sim.frozen[id] = s, true
+}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -401,31 +401,38 @@
 	return false
 }
 
+// A queuedOrder is an order that is to be sent within the lease under which it was decided, which ends at leaseExpiry.
+type queuedOrder struct {
+	order       formation.Order
+	term        int64
+	queuedAt    time.Duration
+	leaseExpiry time.Duration
+}
+
 // sendOrder sends an order on its own goroutine, unless this daemon's term has ended by then.
 func (c *controller) sendOrder(o formation.Order) {
-	g, term, until := c.gateway, c.leadership.term, c.leadership.candidate.LeaseExpiry()
-	queuedAt := clock.Boot()
+	g := c.gateway
+	q := queuedOrder{order: o, term: c.leadership.term, queuedAt: clock.Boot(), leaseExpiry: c.leadership.candidate.LeaseExpiry()}
 	g.work.Go(context.Background(), "order", func(ctx context.Context) error {
-		if now := clock.Boot(); now >= until {
-			g.metrics.events.Add("orders_unsent", 1)
-			g.logger.Warn().Str("event", "order_unsent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-				Int64("epoch", o.Epoch).Int64("term", term).Dur("waited", now-queuedAt).Dur("lapsed", now-until).
-				Msg("lease ran out before the order could be sent")
-			g.enqueue(orderResult{order: o, answer: formation.Declined, term: term})
-			return nil
-		}
-		g.enqueue(g.deliverOrder(ctx, o, term))
+		g.enqueue(g.deliverOrder(ctx, q))
 		return nil
 	})
 }
 
-// deliverOrder sends an order of a term to its server and returns the result.
-func (g *Gateway) deliverOrder(ctx context.Context, o formation.Order, term int64) orderResult {
-	began := clock.Boot()
+// deliverOrder sends an order to its server, if the lease has not run out, and returns the result.
+func (g *Gateway) deliverOrder(ctx context.Context, q queuedOrder) orderResult {
+	o, began := q.order, clock.Boot()
+	if began >= q.leaseExpiry {
+		g.metrics.events.Add("orders_unsent", 1)
+		g.logger.Warn().Str("event", "order_unsent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
+			Int64("epoch", o.Epoch).Int64("term", q.term).Dur("waited", began-q.queuedAt).Dur("lapsed", began-q.leaseExpiry).
+			Msg("lease ran out before the order could be sent")
+		return orderResult{order: o, answer: formation.Declined, term: q.term}
+	}
 	g.metrics.orders.Add(o.Action.String(), 1)
 	answer, err := g.engines.Order(ctx, o)
 	line := g.logger.Info().Str("event", "order").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
-		Int64("epoch", o.Epoch).Int64("term", term).Str("model", o.Model).Str("answer", answer.String()).Dur("took", clock.Boot()-began)
+		Int64("epoch", o.Epoch).Int64("term", q.term).Str("model", o.Model).Str("answer", answer.String()).Dur("took", clock.Boot()-began)
 	if p := o.Previous; p.Replica != "" {
 		line = line.Str("previous", p.Replica).Str("previous_head", p.Head).Str("evidence", p.Evidence.String()).Dur("evidence_age", p.Age).Str("listed", p.Listed.String())
 	}
@@ -436,7 +443,7 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		g.checkPath(o.Address)
 	}
-	return orderResult{order: o, answer: answer, term: term, unreached: errors.Is(err, errNoPath) && !g.ownLinksWork(ctx, o.Address, began)}
+	return orderResult{order: o, answer: answer, term: q.term, unreached: errors.Is(err, errNoPath) && !g.ownLinksWork(ctx, o.Address, began)}
 }
 
 // applyOrderResult applies the answer to an order. A daemon whose term was superseded sends no more
--- a/gateway/lead_test.go
+++ b/gateway/lead_test.go
@@ -92,9 +92,29 @@
 				return client, nil
 			}
 			g.paths.paths.Unreachable(clock.Boot(), g.view.Load().destination(absent))
-			result := g.deliverOrder(t.Context(), formation.Order{Server: "absent", Address: absent, Action: formation.Join}, 1)
+			result := g.deliverOrder(t.Context(), queuedOrder{
+				order: formation.Order{Server: "absent", Address: absent, Action: formation.Join}, term: 1, leaseExpiry: clock.Boot() + time.Minute,
+			})
 			require.Equal(t, formation.Unknown, result.answer)
 			require.Equal(t, !tc.linksWork, result.unreached)
 		})
 	}
 }
+
+// TestOrderThatIsNotSentProvesNothing guards against a server in two replicas (TWO): the lease runs out before an order to stop a
+// head is sent, and the head, which serves, counts as one that has declined to stop.
+func TestOrderThatIsNotSentProvesNothing(t *testing.T) {
+	for _, action := range []formation.Action{formation.Join, formation.Open, formation.Close, formation.Preempt, formation.Leave} {
+		t.Run(action.String(), func(t *testing.T) {
+			g := newController().gateway
+			g.DialServer = func(context.Context, string, string) (net.Conn, error) {
+				require.Fail(t, "nothing should be sent without a lease")
+				return nil, net.ErrClosed
+			}
+			now := clock.Boot()
+			result := g.deliverOrder(t.Context(), queuedOrder{order: formation.Order{Server: "s", Address: "a", Action: action}, term: 1, queuedAt: now, leaseExpiry: now})
+			require.NotEqual(t, formation.Declined, result.answer)
+			require.NotEqual(t, formation.Accepted, result.answer)
+		})
+	}
+}
