--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -51,6 +51,9 @@
 	// answerTime is how long the answer to an order takes that is carried out at once, nil for no time.
 	answerTime func(formation.Order) time.Duration
 	answers    map[time.Duration][]answeredOrder
+	// deliveryTime is how long an order takes to arrive at its server, nil for no time. Orders may overtake each other.
+	deliveryTime func(formation.Order) time.Duration
+	onTheirWay   map[time.Duration][]formation.Order
 	// reports makes the planner know what the servers report that it waits for, ahead of the list for reportTTL.
 	reports    bool
 	reported   map[string]site.Membership
@@ -94,7 +97,7 @@
 	sim := &simulation{
 		t: t, planner: formation.New(1, 0), actual: make(map[string]site.Server), members: make(map[string][]string),
 		frozen: make(map[string]bool), unreachable: make(map[string]bool), readyAt: make(map[string]time.Duration), lastLeft: make(map[string]string), incompleteSince: make(map[string]time.Duration), highestEpoch: make(map[string]int64), doneAt: make(map[site.Membership]time.Duration), delayed: make(map[time.Duration][]formation.Order),
-		answers: make(map[time.Duration][]answeredOrder), reported: make(map[string]site.Membership), reportedAt: make(map[string]time.Duration),
+		answers: make(map[time.Duration][]answeredOrder), onTheirWay: make(map[time.Duration][]formation.Order), reported: make(map[string]site.Membership), reportedAt: make(map[string]time.Duration),
 		wasReady: make(map[string]map[string]bool), term: 1, highestFence: make(map[string]int64),
 		fleet: formation.Fleet{
 			Engine: engine, Servers: make(map[string]site.Server), Dead: make(map[string]bool), OutOfService: make(map[string]bool),
@@ -198,8 +201,12 @@
 				sim.planner.RecordAnswer(sim.now, o, formation.Unknown)
 				continue
 			}
+			sim.deliver(o)
+		}
+		for _, o := range sim.onTheirWay[sim.now] {
 			sim.answer(o, sim.carryOut(o))
 		}
+		delete(sim.onTheirWay, sim.now)
 		for _, o := range sim.delayed[sim.now] {
 			sim.carryOut(o)
 		}
@@ -210,6 +217,19 @@
 	}
 }
 
+// deliver gives o to its server when it has arrived there.
+func (sim *simulation) deliver(o formation.Order) {
+	at := sim.now
+	if sim.deliveryTime != nil {
+		at += sim.deliveryTime(o)
+	}
+	if at == sim.now {
+		sim.answer(o, sim.carryOut(o))
+		return
+	}
+	sim.onTheirWay[at] = append(sim.onTheirWay[at], o)
+}
+
 // answer gives the planner the answer to o when it has arrived.
 func (sim *simulation) answer(o formation.Order, a formation.Answer) {
 	at := sim.now
--- a/coordination/formation/evidence_test.go
+++ b/coordination/formation/evidence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
 	"github.com/hawthornrock/hawthornrock/state/site"
@@ -79,3 +80,30 @@
 	}
 	sim.fleet.Servers[id], sim.frozen[id] = s, true
 }
+
+// TestRandomDeliveries guards against servers in two open replicas (TWO) when orders take their time to arrive and overtake each
+// other, as a slow leader sends them, while members count as dead and are doubted to be.
+func TestRandomDeliveries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newSimulation(t, 2, rapid.IntRange(8, 9).Draw(rt, "size"))
+		sim.run(8 * time.Second)
+		sim.stageIdle(rapid.SampledFrom([]string{"small", "large"}).Draw(rt, "spares"))
+		sim.fleet.TrafficStarted, sim.reports = true, rapid.Bool().Draw(rt, "reports")
+		sim.formTime = time.Duration(rapid.IntRange(0, 3).Draw(rt, "form")) * step
+		sim.lag = time.Duration(rapid.IntRange(0, 8).Draw(rt, "lag")) * step
+		slow := rapid.IntRange(0, 25).Draw(rt, "slow")
+		sim.deliveryTime = func(formation.Order) time.Duration {
+			return time.Duration(rapid.IntRange(0, slow).Draw(rt, "delivery")) * step
+		}
+		for n := range rapid.IntRange(1, 12).Draw(rt, "events") {
+			if rapid.IntRange(0, 2).Draw(rt, "event") == 0 {
+				sim.randomEvent(rt, n)
+				continue
+			}
+			sim.randomDoubt(rt)
+		}
+		sim.deliveryTime = nil
+		sim.run(30 * time.Second)
+		require.NotEmpty(t, sim.open())
+	})
+}
--- a/coordination/formation/head_test.go
+++ b/coordination/formation/head_test.go
@@ -307,11 +307,7 @@
 				sim.randomEvent(rt, n)
 				continue
 			}
-			id := rapid.SampledFrom(slices.Sorted(maps.Keys(sim.actual))).Draw(rt, "doubted")
-			sim.fleet.Dead[id] = true
-			sim.run(time.Duration(rapid.IntRange(1, 12).Draw(rt, "dead")) * step)
-			delete(sim.fleet.Dead, id)
-			sim.run(time.Duration(rapid.IntRange(1, 12).Draw(rt, "alive")) * step)
+			sim.randomDoubt(rt)
 		}
 		sim.answerTime = nil
 		sim.run(30 * time.Second)
@@ -321,3 +317,12 @@
 
 // countAsDead makes the planner count a server as dead that is alive.
 func countAsDead(sim *simulation, id string) { sim.fleet.Dead[id] = true }
+
+// randomDoubt makes a server that is alive count as dead for a while.
+func (sim *simulation) randomDoubt(rt *rapid.T) {
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(sim.actual))).Draw(rt, "doubted")
+	sim.fleet.Dead[id] = true
+	sim.run(time.Duration(rapid.IntRange(1, 12).Draw(rt, "dead")) * step)
+	delete(sim.fleet.Dead, id)
+	sim.run(time.Duration(rapid.IntRange(1, 12).Draw(rt, "alive")) * step)
+}
