--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -51,6 +51,8 @@
 	// answerTime is how long the answer to an order takes that is carried out at once, nil for no time.
 	answerTime func(formation.Order) time.Duration
 	answers    map[time.Duration][]answeredOrder
+	// unsent selects the orders that are not sent.
+	unsent func(formation.Order) bool
 	// deliveryTime is how long an order takes to arrive at its server, nil for no time. Orders may overtake each other.
 	deliveryTime func(formation.Order) time.Duration
 	onTheirWay   map[time.Duration][]formation.Order
@@ -195,6 +197,10 @@
 		delete(sim.answers, sim.now)
 		for _, o := range sim.planner.Step(sim.now, sim.fleet) {
 			sim.orders, sim.orderTimes = append(sim.orders, o), append(sim.orderTimes, sim.now)
+			if sim.unsent != nil && sim.unsent(o) {
+				sim.planner.RecordAnswer(sim.now, o, formation.Unsent)
+				continue
+			}
 			if sim.unanswered != nil && sim.unanswered(o) {
 				at := sim.now + orderDelay
 				sim.delayed[at] = append(sim.delayed[at], o)
--- a/coordination/formation/evidence_test.go
+++ b/coordination/formation/evidence_test.go
@@ -1,6 +1,7 @@
 package formation_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,31 @@
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
+// TestOrdersThatAreNotSent guards against a server in two replicas (TWO), and against slow repairs, when the orders of some steps
+// are not sent, as the leader's lease has run out: the next step orders the same again, and nobody is blamed.
+func TestOrdersThatAreNotSent(t *testing.T) {
+	for _, steps := range []int{1, 3, 10} {
+		t.Run(fmt.Sprint(steps), func(t *testing.T) {
+			unsentTime := time.Duration(steps) * step
+			sim := newSimulation(t, 1, 5)
+			sim.run(8 * time.Second)
+			sim.stageIdle("large")
+			sim.fleet.TrafficStarted = true
+			head, others := sim.head("large")
+			group := sim.actual[head].Member.Group
+			until := sim.now + unsentTime
+			sim.unsent = func(formation.Order) bool { return sim.now < until }
+			countAsDead(sim, others[0])
+			sim.run(unsentTime)
+			require.Equal(t, site.Open, sim.actual[head].Member.State, "nothing has stopped the head")
+			for sim.open()["large"] == 0 || sim.actual[head].Member.Group == group {
+				require.Less(t, sim.now-until, 1700*time.Millisecond, "until the others serve again")
+				sim.run(step)
+			}
+		})
+	}
+}
+
 // TestListIsNoProofOfAClose guards against a server in two replicas (TWO): the orders to stop a head have no answer, and the
 // list shows the head as it was before it opened.
 func TestListIsNoProofOfAClose(t *testing.T) {
--- a/coordination/formation/order.go
+++ b/coordination/formation/order.go
@@ -66,11 +66,13 @@
 	// Unknown means that there was no answer. The order may still be carried out, possibly much
 	// later.
 	Unknown
+	// Unsent means that the order was not sent, and never will be.
+	Unsent
 )
 
 // String returns the name of a.
 func (a Answer) String() string {
-	return [...]string{"accepted", "declined", "fenced", "absent", "unknown"}[a]
+	return [...]string{"accepted", "declined", "fenced", "absent", "unknown", "unsent"}[a]
 }
 
 const (
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -150,6 +150,10 @@
 
 // RecordAnswer records the answer to an order that Step returned.
 func (p *Planner) RecordAnswer(now time.Duration, o Order, a Answer) {
+	if a == Unsent {
+		p.recordUnsent(o)
+		return
+	}
 	soon := a == Unknown && o.Action != Stage
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
 		opening := o.Action == Preempt && h.opening(now, p.formTime)
@@ -184,6 +188,14 @@
 	}
 }
 
+// recordUnsent records that o was not sent, so that the next step may order it again.
+func (p *Planner) recordUnsent(o Order) {
+	delete(p.sentOrders, orderKey(o.Server, o.Action, o.Group))
+	if o.Action == Stage {
+		delete(p.loading, o.Server)
+	}
+}
+
 // Superseded returns whether a, the answer to o, proves that a later leader is sending orders. A
 // server also fences an order to join if it has received one with a higher epoch, which may have
 // come from p itself.
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -427,7 +427,7 @@
 		g.logger.Warn().Str("event", "order_unsent").Str("action", o.Action.String()).Str("server", o.Server).Str("group", o.Group).
 			Int64("epoch", o.Epoch).Int64("term", q.term).Dur("waited", began-q.queuedAt).Dur("lapsed", began-q.leaseExpiry).
 			Msg("lease ran out before the order could be sent")
-		return orderResult{order: o, answer: formation.Declined, term: q.term}
+		return orderResult{order: o, answer: formation.Unsent, term: q.term}
 	}
 	g.metrics.orders.Add(o.Action.String(), 1)
 	answer, err := g.engines.Order(ctx, o)
@@ -452,7 +452,7 @@
 	l := &c.leadership
 	if m.unreached {
 		c.recordUnreached(now)
-	} else if m.answer != formation.Unknown {
+	} else if m.answer != formation.Unknown && m.answer != formation.Unsent {
 		l.unreachedSince = 0
 	}
 	if l.planner == nil || m.term != l.term {
