--- a/coordination/formation/evidence.go
+++ b/coordination/formation/evidence.go
@@ -20,13 +20,11 @@
 	LeaveAccepted
 	// OpenRefused means that the head declined or fenced the order to open.
 	OpenRefused
-	// ListedClosed means that the list showed the head open, and then not.
-	ListedClosed
 )
 
 // String returns the name of e.
 func (e Evidence) String() string {
-	return [...]string{"none", "stop_accepted", "stop_declined", "leave_accepted", "open_refused", "listed_closed"}[e]
+	return [...]string{"none", "stop_accepted", "stop_declined", "leave_accepted", "open_refused"}[e]
 }
 
 // A Closure is that the head of a replica is taken to have stopped serving, in the state in which it is listed. With
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -37,8 +37,11 @@
 	closedAt time.Duration
 	// evidence is what showed it.
 	evidence Evidence
-	// closeOrdered means that the head was ordered to stop serving since it was last ordered to open.
-	closeOrdered bool
+	// closeOrdered means that the head was ordered to stop serving since it was last ordered to open, listedClosed that
+	// the list has shown it closed since then. The list may only lag, so that the head is asked by an order to stop.
+	closeOrdered, listedClosed bool
+	// openListed means that the list has shown the head open since it was last ordered to open.
+	openListed bool
 	// seenAt is when the replica last had a member or a server held for it.
 	seenAt time.Duration
 	// confirmed are the members of a replica formed by an earlier leader that have accepted an
@@ -76,12 +79,12 @@
 // opening returns whether h may be forming its replica, which takes formTime. Its answer to an
 // order to preempt does not hold for the time after that.
 func (h *head) opening(now, formTime time.Duration) bool {
-	return notYetOpen(h.server.Member.State) && h.openOrderedAt > 0 && now-h.openOrderedAt < formTime+openMargin
+	return notYetOpen(h.server.Member.State) && !h.openListed && h.openOrderedAt > 0 && now-h.openOrderedAt < formTime+openMargin
 }
 
 // recordOpenOrder records that h was ordered to open.
 func (h *head) recordOpenOrder(now time.Duration) {
-	h.openOrderedAt, h.closedAt, h.closeOrdered = now, 0, false
+	h.openOrderedAt, h.closedAt, h.closeOrdered, h.listedClosed, h.openListed = now, 0, false, false, false
 }
 
 // recordHeadAnswer records the answer to o, an order to h. mayRejoin means that an order carried out late
@@ -173,30 +176,23 @@
 	_, known := s.planner.heads[group]
 	h := s.head(group)
 	was, is := h.server.Member.State, server.Member.State
-	closed, reopened := false, false
+	reopened := false
 	switch {
 	case !known:
 		if notYetOpen(is) && server.Member.Epoch < s.planner.term*epochsPerTerm {
 			h.openOrderedAt = s.planner.termStart
 		}
-		if is == site.Open {
+		if is == site.Open || is == site.Closing {
 			h.openOrderedAt = s.now
 		}
 	case was == is:
 	case was == site.Open || was == site.Closing:
-		if is <= site.Ready && h.closeOrdered {
-			// The list no longer shows the head as open, so it has closed. Without an order to close it
-			// may only lag behind what the head reported.
-			closed = true
-		}
+		h.listedClosed = is <= site.Ready && h.closeOrdered
 	case is == site.Open:
 		// An order to open was carried out.
 		reopened = h.closedAt > 0
 	}
-	h.server, h.unlisted = server, false
-	if closed {
-		s.planner.recordClosed(s.now, h, ListedClosed)
-	}
+	h.server, h.unlisted, h.openListed = server, false, h.openListed || is == site.Open
 	if reopened {
 		s.planner.recordContradiction(s.now, h)
 		h.closedAt = 0
@@ -212,7 +208,7 @@
 	}
 	s.awaitClose(r)
 	action := Preempt
-	if s.plannedLeave(r) && s.now-h.incompleteSince <= drainTime {
+	if s.plannedLeave(r) && s.now-h.incompleteSince <= drainTime && !h.listedClosed {
 		action = Close
 	}
 	s.orderAction(server, action, r.name, r.epoch)
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -173,8 +173,8 @@
 		}
 		// Its own report shows sooner than the list that it has closed.
 		s.markPending(headServer)
-		if ret := s.planner.retired[r.name]; ret.forPace && s.now-ret.at > drainTime && headServer.Member.State > site.Ready {
-			// Its requests go on elsewhere sooner than here.
+		if ret := s.planner.retired[r.name]; h.listedClosed || ret.forPace && s.now-ret.at > drainTime && headServer.Member.State > site.Ready {
+			// The head has no more requests, or they go on elsewhere sooner than here.
 			s.orderAction(headServer, Preempt, r.name, r.epoch)
 		}
 	}
