--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -12,6 +12,7 @@
 	p := s.planner
 	maps.DeleteFunc(p.sentOrders, func(_ string, o sentOrder) bool { return s.now-o.at >= resendAfter })
 	maps.DeleteFunc(p.unansweredJoins, func(_ string, l unansweredJoin) bool { return !l.mayTakeEffect(s.now) })
+	maps.DeleteFunc(p.sentJoins, func(_ string, j sentJoin) bool { return s.now-j.at >= maxOrderDelay })
 	maps.DeleteFunc(p.seen, func(_ string, m seenMember) bool { return s.now-m.at >= maxListLag })
 	maps.DeleteFunc(p.leaveOrdered, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.highestEpoch, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -32,6 +32,10 @@
 	// openUnansweredAt is when an order to open last had no answer.
 	openOrderedAt    time.Duration
 	openUnansweredAt time.Duration
+	// openPending means that the last order to open is on its way. openSettledAt is from when on an order to stop, sent
+	// then, does not reach the head while it forms its replica for an order to open: what it answers sooner does not hold.
+	openPending   bool
+	openSettledAt time.Duration
 	// closedAt is when the head was known to have stopped serving. It is zero if the head was ordered to open or listed as
 	// open since. Times cannot show which came first: the list may show the close in the step that orders to open.
 	closedAt time.Duration
@@ -40,8 +44,6 @@
 	// closeOrdered means that the head was ordered to stop serving since it was last ordered to open, listedClosed that
 	// the list has shown it closed since then. The list may only lag, so that the head is asked by an order to stop.
 	closeOrdered, listedClosed bool
-	// openListed means that the list has shown the head open since it was last ordered to open.
-	openListed bool
 	// seenAt is when the replica last had a member or a server held for it.
 	seenAt time.Duration
 	// confirmed are the members of a replica formed by an earlier leader that have accepted an
@@ -59,7 +61,7 @@
 
 // mayServe returns whether h may be serving at now, given the state in which it is listed.
 func (h *head) mayServe(now time.Duration, listed site.MemberState) bool {
-	if h.mayOpenLate(now) {
+	if h.openPending || h.mayOpenLate(now) {
 		return true
 	}
 	stopped := h.closedAt > 0
@@ -72,25 +74,38 @@
 // notYetOpen returns whether a head is listed in a state from which it may have opened since.
 func notYetOpen(listed site.MemberState) bool { return listed == site.Joining || listed == site.Ready }
 
-// openMargin is added to the time in which a head forms its replica, until the list shows it as
-// open. It covers the delivery of the order and the lag of the list.
-const openMargin = 900 * time.Millisecond
+const (
+	// openMargin is added to the time in which a head forms its replica, from the order to open on. It covers the delivery
+	// of the order and the lag of the list.
+	openMargin = 900 * time.Millisecond
+	// formMargin is the same from the answer to the order on: a head that is slower than published.
+	formMargin = 300 * time.Millisecond
+)
+
+// opening returns whether h may have been forming its replica at a time, or be ordered to. Its answer to an order to preempt
+// that was sent then does not hold for the time after.
+func (h *head) opening(at time.Duration) bool { return h.openPending || at < h.openSettledAt }
 
-// opening returns whether h may be forming its replica, which takes formTime. Its answer to an
-// order to preempt does not hold for the time after that.
-func (h *head) opening(now, formTime time.Duration) bool {
-	return notYetOpen(h.server.Member.State) && !h.openListed && h.openOrderedAt > 0 && now-h.openOrderedAt < formTime+openMargin
+// recordOpenOrder records that h was ordered to open, to form its replica in formTime.
+func (h *head) recordOpenOrder(now, formTime time.Duration) {
+	h.openOrderedAt, h.closedAt, h.closeOrdered, h.listedClosed = now, 0, false, false
+	h.openPending, h.openSettledAt = true, now+formTime+openMargin
 }
 
-// recordOpenOrder records that h was ordered to open.
-func (h *head) recordOpenOrder(now time.Duration) {
-	h.openOrderedAt, h.closedAt, h.closeOrdered, h.listedClosed, h.openListed = now, 0, false, false, false
+// recordOpenAnswer records the answer to the last order to open h.
+func (h *head) recordOpenAnswer(now, formTime time.Duration, a Answer) {
+	if h.openPending = false; a == Accepted {
+		h.openSettledAt = max(h.openSettledAt, now+formTime+formMargin)
+	}
 }
 
 // recordHeadAnswer records the answer to o, an order to h. mayRejoin means that an order carried out late
 // may make h join its replica again.
 func (p *Planner) recordHeadAnswer(now time.Duration, h *head, o Order, a Answer, mayRejoin bool) {
 	h.absent = h.absent || a == Absent
+	if o.Action == Open && o.SentAt == h.openOrderedAt {
+		h.recordOpenAnswer(now, p.formTime, a)
+	}
 	if o.SentAt < h.openOrderedAt && a != Unknown {
 		// The head was ordered to open since, and the answer says nothing about that.
 		return
@@ -181,6 +196,7 @@
 	case !known:
 		if notYetOpen(is) && server.Member.Epoch < s.planner.term*epochsPerTerm {
 			h.openOrderedAt = s.planner.termStart
+			h.openSettledAt = s.planner.termStart + s.planner.formTime + openMargin
 		}
 		if is == site.Open || is == site.Closing {
 			h.openOrderedAt = s.now
@@ -192,7 +208,9 @@
 		// An order to open was carried out.
 		reopened = h.closedAt > 0
 	}
-	h.server, h.unlisted, h.openListed = server, false, h.openListed || is == site.Open
+	if h.server, h.unlisted = server, false; is == site.Open && !h.openPending {
+		h.openSettledAt = min(h.openSettledAt, s.now)
+	}
 	if reopened {
 		s.planner.recordContradiction(s.now, h)
 		h.closedAt = 0
@@ -289,7 +307,7 @@
 	// A head in no replica may join and open this one again by orders that are carried out late.
 	elsewhere := listed.Member.Group != group && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
 	restartedOrMoved := ok && h.server.ID != "" && (listed.Born != h.server.Born || elsewhere)
-	return restartedOrMoved || !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
+	return restartedOrMoved || !h.openPending && !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
 }
 
 // mayReopen returns whether server, which left a replica whose head it was, may join and open it
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -61,8 +61,10 @@
 	// model.
 	retired   map[string]*retirement
 	retiredAt time.Duration
-	// unansweredJoins are the orders to join that may still be carried out, by server.
+	// unansweredJoins are the orders to join that may still be carried out, by server, and sentJoins the last ones that are
+	// on their way or were accepted.
 	unansweredJoins map[string]unansweredJoin
+	sentJoins       map[string]sentJoin
 	// left holds the replica that each server last accepted to leave, other than as its head, until the list shows it.
 	left map[string]leftReplica
 	// seen holds the replica of this term in which each server was last listed, unless it was ordered to leave it, and
@@ -107,6 +109,12 @@
 	at    time.Duration
 }
 
+// A sentJoin is the epoch of an order to join that was sent, and was not refused, and when it was sent or accepted.
+type sentJoin struct {
+	epoch int64
+	at    time.Duration
+}
+
 // A leftReplica is a replica that a server has left.
 type leftReplica struct {
 	group string
@@ -136,7 +144,7 @@
 	return &Planner{
 		term: term, termStart: now, forming: make(map[string]*formingReplica), heads: make(map[string]*head),
 		sentOrders: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
-		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), serverCountGrewAt: now,
+		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), sentJoins: make(map[string]sentJoin), serverCountGrewAt: now,
 		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure), left: make(map[string]leftReplica),
 		seen: make(map[string]seenMember), leaveOrdered: make(map[string]int64),
 	}
@@ -156,7 +164,7 @@
 	}
 	soon := a == Unknown && o.Action != Stage
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
-		opening := o.Action == Preempt && h.opening(now, p.formTime)
+		opening := o.Action == Preempt && h.opening(o.SentAt)
 		if !opening || a == Absent {
 			join := p.unansweredJoins[o.Server]
 			p.recordHeadAnswer(now, h, o, a, join.group == o.Group && join.mayTakeEffect(now))
@@ -191,8 +199,17 @@
 // recordUnsent records that o was not sent, so that the next step may order it again.
 func (p *Planner) recordUnsent(o Order) {
 	delete(p.sentOrders, orderKey(o.Server, o.Action, o.Group))
-	if o.Action == Stage {
+	if h, ok := p.heads[o.Group]; ok && o.Action == Open && o.SentAt == h.openOrderedAt {
+		h.openPending = false
+	}
+	switch o.Action {
+	case Stage:
 		delete(p.loading, o.Server)
+	case Join:
+		if p.sentJoins[o.Server].epoch == o.Epoch {
+			delete(p.sentJoins, o.Server)
+		}
+	case Open, Close, Preempt, Leave:
 	}
 }
 
@@ -208,6 +225,13 @@
 // has accepted an order with a higher epoch refuses it; one with the same epoch has no effect as
 // long as the server does not leave.
 func (p *Planner) recordJoinAnswer(now time.Duration, o Order, a Answer) {
+	if sent := p.sentJoins[o.Server]; sent.epoch == o.Epoch {
+		if sent.at = now; a == Accepted {
+			p.sentJoins[o.Server] = sent
+		} else {
+			delete(p.sentJoins, o.Server)
+		}
+	}
 	unanswered := p.unansweredJoins[o.Server]
 	switch {
 	case a == Unknown && o.Epoch >= unanswered.epoch:
@@ -308,6 +332,7 @@
 	}
 	if o.Action == Join {
 		s.planner.highestEpoch[o.Server] = max(o.Epoch, s.planner.highestEpoch[o.Server])
+		s.planner.sentJoins[o.Server] = sentJoin{epoch: o.Epoch, at: s.now}
 	}
 	if isBulk {
 		s.bulk++
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -16,10 +16,13 @@
 	members map[int]site.Server
 }
 
-// mayLoseMember returns whether an order to join another replica, carried out late, may take a
-// member away from r.
+// mayLoseMember returns whether an order to join another replica, which is on its way, was accepted, or is carried out
+// late, may take a member away from r.
 func (s *step) mayLoseMember(r *replica) bool {
 	for _, server := range r.members {
+		if sent, ok := s.planner.sentJoins[server.ID]; ok && sent.epoch > r.epoch && s.now-sent.at < maxOrderDelay {
+			return true
+		}
 		if l, ok := s.planner.unansweredJoins[server.ID]; ok && l.epoch > r.epoch && l.mayTakeEffect(s.now) {
 			return true
 		}
@@ -194,14 +197,14 @@
 		delete(s.planner.forming, r.name)
 		s.recordServing(r)
 	}
-	if ready && headServer.Member.State == site.Ready && h.opening(s.now, s.planner.formTime) {
+	if ready && headServer.Member.State == site.Ready && h.opening(s.now) {
 		s.markPending(headServer)
 	}
 	if s.planner.retired[r.name] != nil || !ready || headServer.Member.State != site.Ready || s.mayLoseMember(r) || !s.confirmMembers(r) {
 		return
 	}
 	if s.orderAction(headServer, Open, r.name, r.epoch) {
-		h.recordOpenOrder(s.now)
+		h.recordOpenOrder(s.now, s.planner.formTime)
 	}
 }
 
