--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -217,9 +217,7 @@
 			sim.carryOut(o)
 		}
 		sim.updateList()
-		if sim.reports {
-			sim.poll()
-		}
+		sim.poll()
 	}
 }
 
@@ -325,10 +323,17 @@
 	}
 }
 
-// poll takes over what the servers report that the planner waits for, as gateway does.
+// poll gives the planner what the servers report that it waits for, and with reports takes it over in the list, as gateway
+// does.
 func (sim *simulation) poll() {
 	for _, s := range sim.planner.PendingServers() {
 		now, lives := sim.actual[s.ID]
+		if lives && !sim.unreachable[s.ID] && !sim.absent[s.ID] {
+			sim.planner.RecordReport(sim.now, now)
+		}
+		if !sim.reports {
+			continue
+		}
 		listed, ok := sim.fleet.Servers[s.ID]
 		if lives && ok && !sim.unreachable[s.ID] && supersedes(now.Member, listed.Member) {
 			listed.Member = now.Member
--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -1,6 +1,9 @@
 package formation
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // forgetAfter is how long a replica must have had no member and no server held for it before its
 // records are dropped: an order about it may be carried out late, and the list lags.
@@ -13,7 +16,9 @@
 	maps.DeleteFunc(p.sentOrders, func(_ string, o sentOrder) bool { return s.now-o.at >= resendAfter })
 	maps.DeleteFunc(p.unansweredJoins, func(_ string, l unansweredJoin) bool { return !l.mayTakeEffect(s.now) })
 	maps.DeleteFunc(p.sentJoins, func(_ string, j sentJoin) bool { return s.now-j.at >= maxOrderDelay })
-	maps.DeleteFunc(p.seen, func(_ string, m seenMember) bool { return s.now-m.at >= maxListLag })
+	maps.DeleteFunc(p.seen, func(id string, _ seenMember) bool { _, listed := s.fleet.Servers[id]; return !listed })
+	maps.DeleteFunc(p.reported, func(id string, _ reportedPlace) bool { _, listed := s.fleet.Servers[id]; return !listed })
+	maps.DeleteFunc(p.movedAt, func(id string, _ time.Duration) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.leaveOrdered, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.highestEpoch, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	for name := range s.replicas {
--- a/coordination/formation/form.go
+++ b/coordination/formation/form.go
@@ -42,7 +42,7 @@
 // collectIdle lists the idle servers by fabric domain.
 func (s *step) collectIdle() {
 	for _, id := range slices.Sorted(maps.Keys(s.fleet.Servers)) {
-		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.failedLately(server) && !s.outOfService(server) && !s.mayReopen(server) {
+		if server := s.fleet.Servers[id]; !s.busy[id] && s.assignable(server) && !s.failedLately(server) && !s.outOfService(server) && !s.mayReopen(server) && s.confirmPlace(server) {
 			s.idle[server.FabricDomain] = append(s.idle[server.FabricDomain], server)
 		}
 	}
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -95,7 +95,7 @@
 // recordOpenAnswer records the answer to the last order to open h.
 func (h *head) recordOpenAnswer(now, formTime time.Duration, a Answer) {
 	if h.openPending = false; a == Accepted {
-		h.openSettledAt = max(h.openSettledAt, now+formTime+formMargin)
+		h.openSettledAt = now + formTime + formMargin
 	}
 }
 
@@ -208,9 +208,7 @@
 		// An order to open was carried out.
 		reopened = h.closedAt > 0
 	}
-	if h.server, h.unlisted = server, false; is == site.Open && !h.openPending {
-		h.openSettledAt = min(h.openSettledAt, s.now)
-	}
+	h.server, h.unlisted = server, false
 	if reopened {
 		s.planner.recordContradiction(s.now, h)
 		h.closedAt = 0
@@ -304,8 +302,10 @@
 		return false
 	}
 	listed, ok := s.fleet.Servers[h.server.ID]
-	// A head in no replica may join and open this one again by orders that are carried out late.
-	elsewhere := listed.Member.Group != group && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
+	// The list may be older than the join of the head, and a head in no replica may join and open this one again by orders
+	// that are carried out late.
+	elsewhere := listed.Member.Epoch > h.server.Member.Epoch ||
+		listed.Member.Group != group && ok && s.confirmPlace(listed) && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
 	restartedOrMoved := ok && h.server.ID != "" && (listed.Born != h.server.Born || elsewhere)
 	return restartedOrMoved || !h.openPending && !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
 }
--- /dev/null
+++ b/coordination/formation/place.go
@@ -0,0 +1,53 @@
+package formation
+
+import (
+	"time"
+
+	"github.com/hawthornrock/hawthornrock/state/site"
+)
+
+// A reportedPlace is the membership that one incarnation of a server reported itself, when asked at a time.
+type reportedPlace struct {
+	member  site.Membership
+	born    int64
+	askedAt time.Duration
+}
+
+// reportLag is how old what a server reports may be: the platform's documentation says some hundred milliseconds.
+const reportLag = 500 * time.Millisecond
+
+// RecordReport records the report of a server that was asked for it at askedAt.
+func (p *Planner) RecordReport(askedAt time.Duration, server site.Server) {
+	if last, ok := p.reported[server.ID]; !ok || askedAt >= last.askedAt {
+		p.reported[server.ID] = reportedPlace{member: server.Member, born: server.Born, askedAt: askedAt}
+	}
+}
+
+// confirmPlace returns whether server is known to be where the list shows it, so that the head of that replica is the one
+// that has to stop before server is given away. The list may be older than the term, and than what the leader before has
+// ordered. The place is known if the server is listed in a replica of this term, or has left it, and otherwise by its own
+// report, which it is asked for. Before callers come, nothing waits for the reports.
+func (s *step) confirmPlace(server site.Server) bool {
+	p, m := s.planner, server.Member
+	if m.Epoch >= p.term*epochsPerTerm {
+		return true
+	}
+	moved := p.movedAt[server.ID]
+	if l, ok := p.left[server.ID]; ok && l.at >= moved {
+		return true
+	}
+	knownFrom := max(moved, p.termStart) + reportLag
+	if r, ok := p.reported[server.ID]; ok && r.askedAt >= knownFrom && r.born == server.Born && r.member.Group == m.Group && r.member.Epoch == m.Epoch {
+		return true
+	}
+	if s.now >= knownFrom {
+		s.markPending(server)
+	}
+	return !s.fleet.TrafficStarted
+}
+
+// outdated returns whether the server itself reported, after the list last showed it in last, that it is not there.
+func (s *step) outdated(id string, last seenMember) bool {
+	r, ok := s.planner.reported[id]
+	return ok && r.born == last.born && r.askedAt >= last.at+reportLag && r.member.Epoch < last.member.Epoch
+}
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -67,6 +67,9 @@
 	sentJoins       map[string]sentJoin
 	// left holds the replica that each server last accepted to leave, other than as its head, until the list shows it.
 	left map[string]leftReplica
+	// reported holds what servers reported of their places, and movedAt when each was last ordered to join or leave.
+	reported map[string]reportedPlace
+	movedAt  map[string]time.Duration
 	// seen holds the replica of this term in which each server was last listed, unless it was ordered to leave it, and
 	// leaveOrdered the epoch of the last replica that each server was ordered to leave.
 	seen         map[string]seenMember
@@ -115,10 +118,11 @@
 	at    time.Duration
 }
 
-// A leftReplica is a replica that a server has left.
+// A leftReplica is a replica that a server has left, as it answered at a time.
 type leftReplica struct {
 	group string
 	epoch int64
+	at    time.Duration
 }
 
 // A seenMember is the membership of one incarnation of a server as listed at a time.
@@ -146,7 +150,7 @@
 		sentOrders: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), sentJoins: make(map[string]sentJoin), serverCountGrewAt: now,
 		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure), left: make(map[string]leftReplica),
-		seen: make(map[string]seenMember), leaveOrdered: make(map[string]int64),
+		reported: make(map[string]reportedPlace), movedAt: make(map[string]time.Duration), seen: make(map[string]seenMember), leaveOrdered: make(map[string]int64),
 	}
 }
 
@@ -179,7 +183,7 @@
 		}
 	}
 	if h, ok := p.heads[o.Group]; o.Action == Leave && a == Accepted && (!ok || h.server.ID != o.Server) {
-		p.left[o.Server] = leftReplica{group: o.Group, epoch: o.Epoch}
+		p.left[o.Server] = leftReplica{group: o.Group, epoch: o.Epoch, at: now}
 	}
 	switch {
 	case a == Absent:
@@ -239,7 +243,7 @@
 	case a == Unknown:
 		unanswered.at = now
 		p.unansweredJoins[o.Server] = unanswered
-	case a == Accepted && o.Epoch > unanswered.epoch, a == Absent:
+	case a == Accepted && o.Epoch > unanswered.epoch:
 		delete(p.unansweredJoins, o.Server)
 	}
 }
@@ -326,6 +330,9 @@
 		return false
 	}
 	s.planner.sentOrders[key] = sentOrder{at: s.now}
+	if o.Action == Join || o.Action == Leave {
+		s.planner.movedAt[o.Server] = s.now
+	}
 	if o.Action == Leave {
 		s.planner.leaveOrdered[o.Server] = max(o.Epoch, s.planner.leaveOrdered[o.Server])
 		delete(s.planner.seen, o.Server)
--- a/coordination/formation/succeed.go
+++ b/coordination/formation/succeed.go
@@ -36,7 +36,7 @@
 		server := r.members[rank]
 		_, held := s.planner.held[server.ID]
 		// A member that is marked as serving is already on its way to another replica.
-		if !held && !s.serving[server.ID] && s.assignable(server) && !s.outOfService(server) && !s.mayReopen(server) {
+		if !held && !s.serving[server.ID] && s.assignable(server) && !s.outOfService(server) && !s.mayReopen(server) && s.confirmPlace(server) {
 			remaining = append(remaining, server)
 		}
 	}
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
@@ -47,21 +46,19 @@
 	return s.fleet.OutOfService[server.FailureDomain]
 }
 
-// maxListLag is how long the list may show a server as it was before, although it was listed, by its own report, in a
-// replica since. It bounds what an entry of another writer can do.
-const maxListLag = 5 * time.Second
-
 // applySeen keeps the servers in the replicas of this term in which they were last listed while the list shows them with a
-// lower epoch or in none. Only an order to leave, a later join and a new start take a server out of its replica.
+// lower epoch or in none, and they do not report that themselves. Only an order to leave, a later join and a new start take a
+// server out of its replica.
 func (s *step) applySeen() {
 	p := s.planner
 	s.fleet.Servers = maps.Clone(s.fleet.Servers)
 	for id, server := range s.fleet.Servers {
 		last, known := p.seen[id]
 		switch epoch := server.Member.Epoch; {
-		case known && server.Born == last.born && epoch < last.member.Epoch && s.now-last.at < maxListLag:
+		case known && server.Born == last.born && epoch < last.member.Epoch && !s.outdated(id, last):
 			server.Member = last.member
 			s.fleet.Servers[id] = server
+			s.markPending(server)
 		case epoch >= p.term*epochsPerTerm && epoch > p.leaveOrdered[id]:
 			p.seen[id] = seenMember{member: server.Member, born: server.Born, at: s.now}
 		default:
@@ -74,6 +71,9 @@
 func (s *step) applyLeft() {
 	for id, l := range s.planner.left {
 		server, listed := s.fleet.Servers[id]
+		if listed && server.Member.State == site.Unassigned {
+			continue
+		}
 		if !listed || server.Member.Group != l.group || server.Member.Epoch != l.epoch {
 			delete(s.planner.left, id)
 			continue
@@ -227,7 +227,10 @@
 func (s *step) awaitClose(r *replica) {
 	s.awaitingClose[r.name] = true
 	for _, server := range r.members {
-		s.busy[server.ID] = true
+		if s.busy[server.ID] = true; s.assignable(server) {
+			// Its report is there when the head has stopped.
+			s.confirmPlace(server)
+		}
 	}
 }
 
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -8,6 +8,7 @@
 
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
 	"github.com/hawthornrock/hawthornrock/state/site"
+	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
 
 const (
@@ -19,8 +20,11 @@
 	maxAnnouncements = 512
 )
 
-// A serverReport is a server's report of itself.
-type serverReport struct{ server site.Server }
+// A serverReport is a server's report of itself, for which it was asked at askedAt.
+type serverReport struct {
+	server  site.Server
+	askedAt time.Duration
+}
 
 // A replicaChange is a replica that started serving, or that stopped if it has no members. Members
 // are in rank order, the head first.
@@ -66,6 +70,7 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		g.metrics.events.Add("probes", 1)
+		askedAt := clock.Boot()
 		report, err := g.engines.Report(ctx, s)
 		if err != nil {
 			// The list shows the change later, and other probes determine whether the server is
@@ -73,7 +78,7 @@
 			g.metrics.events.Add("reports_failed", 1)
 			return nil
 		}
-		g.enqueue(serverReport{server: report})
+		g.enqueue(serverReport{server: report, askedAt: askedAt})
 		return nil
 	})
 }
@@ -114,6 +119,9 @@
 		c.gateway.logger.Info().Str("event", "server_pace").Str("server", m.server.ID).Str("group", m.server.Member.Group).Float64("pace", m.server.Pace).
 			Msg("server became slow or ceased to be slow")
 	}
+	if c.leadership.planner != nil {
+		c.leadership.planner.RecordReport(m.askedAt, m.server)
+	}
 	c.dirty = c.servers.update(now, m.server.ID, m.server.Born, m.server.Member) || c.dirty
 }
 
