--- a/coordination/formation/bench_test.go
+++ b/coordination/formation/bench_test.go
@@ -83,6 +83,18 @@
 	// has received an order of.
 	term         int64
 	highestFence map[string]int64
+	// exact makes the rule TWO be checked as it is worded, on the head of the replica that a server is in, and broken
+	// collect what breaks it in place of ending the test.
+	exact  bool
+	broken []breach
+}
+
+// A breach is an order to join that was carried out while the head of the server's replica was open or closing.
+type breach struct {
+	at     time.Duration
+	order  formation.Order
+	server site.Server
+	head   site.Server
 }
 
 // An answeredOrder is an order with its answer, which is still on its way.
@@ -347,7 +359,7 @@
 	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.State > b.State
 }
 
-// carryOut makes a server carry out an order, and checks the invariants that apply to it.
+// carryOut makes a server carry out an order, unless it is out of reach.
 func (sim *simulation) carryOut(o formation.Order) formation.Answer {
 	s, ok := sim.actual[o.Server]
 	if sim.declining[o.Server] {
@@ -359,6 +371,11 @@
 	if !ok || sim.unreachable[o.Server] {
 		return formation.Unknown
 	}
+	return sim.apply(s, o)
+}
+
+// apply makes s carry out an order that has reached it, and checks the invariants that apply to it.
+func (sim *simulation) apply(s site.Server, o formation.Order) formation.Answer {
 	if o.Fence < sim.highestFence[s.ID] {
 		return formation.Fenced
 	}
@@ -411,14 +428,15 @@
 // joinTime returns how long s takes to carry out o, an order to join.
 func (sim *simulation) joinTime(s site.Server, o formation.Order) time.Duration {
 	const rejoin = 200 * time.Millisecond
-	i := slices.IndexFunc(engine.Models, func(m site.Model) bool { return m.Name == o.Model })
+	models := sim.fleet.Engine.Models
+	i := slices.IndexFunc(models, func(m site.Model) bool { return m.Name == o.Model })
 	switch {
 	case !sim.timed || sim.fleet.LastModel[s.ID] == o.Model:
 		return rejoin
 	case slices.Contains(s.Staged, o.Model):
-		return engine.Models[i].StagedLoad
+		return models[i].StagedLoad
 	}
-	return engine.Models[i].Load
+	return models[i].Load
 }
 
 // isLost returns whether all that the planner can see of a server says that it has ended: it answers no probe, and it
@@ -432,6 +450,12 @@
 // that is lost is free: the rule TWO is on the head of the group that a worker is in.
 func (sim *simulation) checkJoin(s site.Server, o formation.Order) {
 	group := s.Member.Group
+	if sim.exact {
+		if head, serves := sim.servingHead(group); serves && group != o.Group {
+			sim.broken = append(sim.broken, breach{at: sim.now, order: o, server: s, head: head})
+		}
+		return
+	}
 	if s.Member.State == site.Unassigned {
 		if group = sim.lastLeft[s.ID]; group != "" && sim.isLost(sim.members[group][0]) {
 			return
@@ -440,8 +464,7 @@
 	if group == "" || group == o.Group {
 		return
 	}
-	head := sim.actual[sim.members[group][0]]
-	serves := head.Member.Group == group && (head.Member.State == site.Open || head.Member.State == site.Closing)
+	_, serves := sim.servingHead(group)
 	if serves {
 		for i, order := range sim.orders {
 			if order.Server == s.ID || order.Group == o.Group || order.Group == group {
@@ -452,6 +475,15 @@
 	require.False(sim.t, serves, "at %v server %s joins replica %s while its old replica %s is open", sim.now, s.ID, o.Group, group)
 }
 
+// servingHead returns the head of group, and whether it is open or closing. One that stands still is open until it breaks.
+func (sim *simulation) servingHead(group string) (site.Server, bool) {
+	if len(sim.members[group]) == 0 {
+		return site.Server{}, false
+	}
+	head := sim.actual[sim.members[group][0]]
+	return head, head.Member.Group == group && (head.Member.State == site.Open || head.Member.State == site.Closing)
+}
+
 // checkOpen checks that every member of a replica has been ready when it opens. The platform's
 // rules allow that a member was ready and has been lost since, as an order to open may be carried
 // out late.
