--- a/coordination/formation/scale_test.go
+++ b/coordination/formation/scale_test.go
@@ -186,7 +186,7 @@
 	}
 	sim.record("order    %s %s %s fate %+v", o.Action, o.Server, o.Group, f)
 	if f.unsent {
-		answer(formation.Declined)
+		answer(formation.Unsent)
 		return
 	}
 	sim.after(f.wait, func() {
@@ -316,8 +316,11 @@
 	for _, pending := range p.PendingServers() {
 		s, lived := sim.history[0][pending.ID]
 		l := sim.list[pending.ID]
-		reached := !sim.unreachable[pending.ID] && !sim.refusing[pending.ID]
-		if lived && l != nil && l.server.Born == s.Born && reached && supersedes(s.Member, l.server.Member) {
+		if _, lives := sim.actual[pending.ID]; !lived || !lives || sim.unreachable[pending.ID] || sim.refusing[pending.ID] {
+			continue
+		}
+		p.RecordReport(sim.now, s)
+		if l != nil && l.server.Born == s.Born && supersedes(s.Member, l.server.Member) {
 			l.server.Member, l.reportedAt = s.Member, sim.now
 			sim.showListing(pending.ID, l)
 		}
