--- a/coordination/formation/scale_test.go
+++ b/coordination/formation/scale_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -41,6 +42,8 @@
 	reportLag = 200 * time.Millisecond
 	// maxOrderDelay is how late an order may be carried out.
 	maxOrderDelay = 12 * time.Second
+	// scaleHistories is the number of histories of a test. Each has some hundred steps for up to three fabric domains.
+	scaleHistories = 100
 	// formedAfter is when all replicas of a scaleSimulation serve.
 	formedAfter = 6 * time.Second
 )
@@ -729,6 +732,7 @@
 // testRandomScale checks that random histories with what k holds do not break the rule TWO.
 func testRandomScale(t *testing.T, k scaleKinds) {
 	t.Helper()
+	histories.Limit(t, scaleHistories)
 	rapid.Check(t, func(rt *rapid.T) { k.drawHistory(t, rt).requireRule(rt) })
 }
 
--- a/coordination/histories/fix_test.go
+++ b/coordination/histories/fix_test.go
@@ -24,3 +24,17 @@
 	rapid.Check(t, func(t *rapid.T) { drawn = append(drawn, rapid.IntRange(0, 1000).Draw(t, "number")) })
 	require.Equal(t, again, drawn)
 }
+
+// TestLimit checks that a limit holds for one test.
+func TestLimit(t *testing.T) {
+	count := func(t *testing.T) int {
+		n := 0
+		rapid.Check(t, func(*rapid.T) { n++ })
+		return n
+	}
+	t.Run("limited", func(t *testing.T) {
+		histories.Limit(t, 3)
+		require.Equal(t, 3, count(t))
+	})
+	t.Run("after", func(t *testing.T) { require.Equal(t, 7, count(t)) })
+}
