--- a/coordination/formation/evidence_test.go
+++ b/coordination/formation/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,20 +70,23 @@
 // that shows the head in the replica that it was in before, for which the head declines all orders.
 func TestHeadListedWhereItWasBefore(t *testing.T) {
 	for _, tc := range []struct {
-		name  string
-		group string
-		shown site.MemberState
+		name    string
+		group   string
+		shown   site.MemberState
+		traffic bool
 	}{
-		{"ready", "small/1/0", site.Ready},
-		{"open", "small/1/0", site.Open},
-		{"broken", "small/1/0", site.Broken},
-		{"in_none", "", site.Unassigned},
+		{"ready", "small/1/0", site.Ready, true},
+		{"open", "small/1/0", site.Open, true},
+		{"broken", "small/1/0", site.Broken, true},
+		{"in_none", "", site.Unassigned, true},
+		{"ready_before_callers_come", "small/1/0", site.Ready, false},
+		{"in_none_before_callers_come", "", site.Unassigned, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sim := newSimulation(t, 1, 5)
 			sim.run(8 * time.Second)
 			sim.stageIdle("small")
-			sim.fleet.TrafficStarted = true
+			sim.fleet.TrafficStarted = tc.traffic
 			head, _ := sim.head("large")
 			sim.showEarlier(head, tc.group, tc.shown)
 			sim.changeLeader()
@@ -95,6 +99,64 @@
 	}
 }
 
+// TestReportsFromBeforeTheTerm guards against a server in two replicas (TWO): what it reported before the term began says nothing
+// of what the leader before has ordered since.
+func TestReportsFromBeforeTheTerm(t *testing.T) {
+	const start = time.Minute
+	fleet := formation.Fleet{Engine: engine, TrafficStarted: true, Servers: make(map[string]site.Server)}
+	for _, id := range []string{"a", "b"} {
+		fleet.Servers[id] = site.Server{ID: id, FabricDomain: "rack", Born: 1, Staged: []string{"small"}}
+	}
+	planner := formation.New(2, start)
+	report := func(askedAt time.Duration) {
+		for _, server := range fleet.Servers {
+			planner.RecordReport(askedAt, server)
+		}
+	}
+	report(start - step)
+	require.Empty(t, planner.Step(start+2*time.Second, fleet))
+	require.Len(t, planner.PendingServers(), 2, "they are asked again")
+	report(start + 2*time.Second)
+	require.Len(t, planner.Step(start+2*time.Second+step, fleet), 2)
+}
+
+// TestStopsBesideAnOrderToOpen guards against members that join another replica while their head is open (TWO): it declines to
+// stop before it carries out an order to open that is on its way, or while it forms its replica, and the answer comes later.
+func TestStopsBesideAnOrderToOpen(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		open, stopAnswer time.Duration
+	}{
+		{"open_is_on_its_way", 1800 * time.Millisecond, 0},
+		{"answer_is_late", 0, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newSimulation(t, 1, 5)
+			sim.run(8 * time.Second)
+			sim.stageIdle("large")
+			sim.fleet.TrafficStarted, sim.formTime = true, engine.Form
+			head, others := sim.head("large")
+			countAsDead(sim, others[0])
+			for sim.fleet.Servers[head].Member.State == site.Open {
+				sim.run(step)
+			}
+			sim.deliveryTime = func(o formation.Order) time.Duration {
+				return map[formation.Action]time.Duration{formation.Open: tc.open, formation.Join: 500 * time.Millisecond}[o.Action]
+			}
+			sim.answerTime = func(o formation.Order) time.Duration {
+				return map[formation.Action]time.Duration{formation.Preempt: tc.stopAnswer}[o.Action]
+			}
+			delete(sim.fleet.Dead, others[0])
+			for before := len(sim.orders); !slices.ContainsFunc(sim.orders[before:], func(o formation.Order) bool { return o.Action == formation.Open }); {
+				sim.run(step)
+			}
+			countAsDead(sim, others[0])
+			// The simulation checks every join.
+			sim.run(4 * time.Second)
+		})
+	}
+}
+
 // showEarlier makes the list show a server as it was in a replica before, with the small model on its host.
 func (sim *simulation) showEarlier(id, group string, state site.MemberState) {
 	s := sim.actual[id]
--- a/coordination/formation/place.go
+++ b/coordination/formation/place.go
@@ -16,6 +16,9 @@
 // reportLag is how old what a server reports may be: the platform's documentation says some hundred milliseconds.
 const reportLag = 500 * time.Millisecond
 
+// firstTerm is the first term of a deployment.
+const firstTerm = 1
+
 // RecordReport records the report of a server that was asked for it at askedAt.
 func (p *Planner) RecordReport(askedAt time.Duration, server site.Server) {
 	if last, ok := p.reported[server.ID]; !ok || askedAt >= last.askedAt {
@@ -26,7 +29,7 @@
 // confirmPlace returns whether server is known to be where the list shows it, so that the head of that replica is the one
 // that has to stop before server is given away. The list may be older than the term, and than what the leader before has
 // ordered. The place is known if the server is listed in a replica of this term, or has left it, and otherwise by its own
-// report, which it is asked for. Before callers come, nothing waits for the reports.
+// report, which it is asked for. Before callers come, the first leader, whom no other went before, does not wait for it.
 func (s *step) confirmPlace(server site.Server) bool {
 	p, m := s.planner, server.Member
 	if m.Epoch >= p.term*epochsPerTerm {
@@ -43,7 +46,7 @@
 	if s.now >= knownFrom {
 		s.markPending(server)
 	}
-	return !s.fleet.TrafficStarted
+	return !s.fleet.TrafficStarted && p.term == firstTerm
 }
 
 // outdated returns whether the server itself reported, after the list last showed it in last, that it is not there.
--- a/coordination/formation/planner_test.go
+++ b/coordination/formation/planner_test.go
@@ -16,7 +16,7 @@
 )
 
 func ExamplePlanner() {
-	planner := formation.New(7, 0)
+	planner := formation.New(1, 0)
 	fleet := formation.Fleet{Engine: engine, Servers: map[string]site.Server{
 		"a": {ID: "a", FabricDomain: "rack"}, "b": {ID: "b", FabricDomain: "rack"},
 	}}
@@ -25,8 +25,8 @@
 		fmt.Println(o.Action, o.Server, o.Group, o.Epoch, o.Members)
 	}
 	// Output:
-	// join a small/7/1 7000001 [a b]
-	// join b small/7/1 7000001 [a b]
+	// join a small/1/1 1000001 [a b]
+	// join b small/1/1 1000001 [a b]
 }
 
 func TestAllServersServeBeforeCallersCome(t *testing.T) {
