--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -166,7 +166,7 @@
 	q := detourRequest{
 		// The address may have passed to another server since the choice.
 		Address: to.Address, Server: platform.ServerID(req.Header), Method: req.Method, Target: cmp.Or(req.URL.Opaque, req.URL.RequestURI()),
-		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.direct.DisableKeepAlives,
+		Host: req.Host, Header: req.Header, SendWithin: serverDialTimeout, Call: a != nil, SingleUse: t.firstTransport(req) == t.fresh,
 	}
 	if a != nil {
 		q.Longest = a.longest(ctx, g.tracker.slowestRatio())
@@ -200,7 +200,7 @@
 	if answer.head.Status != http.StatusMisdirectedRequest {
 		g.recordLimit(to.Address, q.Server, decodeLimit(sentAt, answer.head.Header, a != nil))
 	}
-	if !answer.head.Own && platform.OriginOf(req.Header, answer.head.Header, answer.head.Status, false) != platform.Own {
+	if !answer.head.Own && platform.OriginOf(req.Method, req.Header, answer.head.Header, answer.head.Status, false) != platform.Own {
 		// The connection to the server is the other daemon's, which may have used it before.
 		answer.exchange.Abort()
 		return nil, fmt.Errorf("%w: status %d through %s", platform.ErrForeignResponse, answer.head.Status, answer.helper)
--- a/gateway/serverconn.go
+++ b/gateway/serverconn.go
@@ -148,16 +148,24 @@
 	return x.written
 }
 
+// firstTransport returns the transport for the first try to send req.
+func (t *serverTransport) firstTransport(req *http.Request) *http.Transport {
+	if t.direct.DisableKeepAlives || platform.NeedsOwnConnection(req.Method, req.Header) {
+		return t.fresh
+	}
+	return t.direct
+}
+
 // sendDirect sends req on this daemon's own path, and returns a response only if it belongs to req. What a used
-// connection turns out to be of no use for is sent on a new one: requests that were not written, and orders and
-// probes, which may be repeated.
+// connection turns out to be of no use for is sent on a new one: requests that were not written, and requests for
+// reports. Orders are sent on new connections at once.
 func (t *serverTransport) sendDirect(req *http.Request) (*http.Response, error) {
 	events := &t.gateway.metrics.events
 	if attemptOf(req.Context()) == nil {
 		t.gateway.chargeOther(req.URL.Host)
 	}
 	sentAt := clock.Boot()
-	resp, err := exchangeOn(t.direct, req)
+	resp, err := exchangeOn(t.firstTransport(req), req)
 	switch {
 	case errors.Is(err, errNotWritten):
 		events.Add("requests_not_written", 1)
@@ -226,7 +234,7 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	switch platform.OriginOf(req.Header, resp.Header, resp.StatusCode, x.first) {
+	switch platform.OriginOf(req.Method, req.Header, resp.Header, resp.StatusCode, x.first) {
 	case platform.Foreign:
 		// Without a body the transport already keeps the connection for other requests, so closing the body is
 		// not enough.
