--- a/transport/rest/rest.go
+++ b/transport/rest/rest.go
@@ -44,22 +44,28 @@
 
 // CallWithin is CallWith for an answer of at most limit bytes.
 func CallWithin(ctx context.Context, client *http.Client, method, url string, limit int64, header http.Header, request, response any) error {
+	_, err := CallStatus(ctx, client, method, url, limit, header, request, response)
+	return err
+}
+
+// CallStatus is CallWithin for a caller that needs the status of a success.
+func CallStatus(ctx context.Context, client *http.Client, method, url string, limit int64, header http.Header, request, response any) (int, error) {
 	var (
 		req  *http.Request
 		resp *http.Response
 		err  error
 	)
 	if req, err = newRequest(ctx, method, url, request); err != nil {
-		return err
+		return 0, err
 	}
 	for name, values := range header {
 		req.Header[name] = values
 	}
 	if resp, err = client.Do(req); err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
-	return decode(resp, limit, response)
+	return resp.StatusCode, decode(resp, limit, response)
 }
 
 // Refused returns whether err proves that nothing listens at the called address, so that the request
