--- a/coordination/formation/place.go
+++ b/coordination/formation/place.go
@@ -19,6 +19,15 @@
 // firstTerm is the first term of a deployment.
 const firstTerm = 1
 
+// UnconfirmedServers returns the servers whose places were not known in the last step. Their reports are to be recorded, those
+// that can't be earlier ones.
+func (p *Planner) UnconfirmedServers() []site.Server { return p.unconfirmed }
+
+// askPlace makes server one of those to be asked where they are.
+func (s *step) askPlace(server site.Server) {
+	s.planner.unconfirmed = append(s.planner.unconfirmed, server)
+}
+
 // RecordReport records the report of a server that was asked for it at askedAt.
 func (p *Planner) RecordReport(askedAt time.Duration, server site.Server) {
 	if last, ok := p.reported[server.ID]; !ok || askedAt >= last.askedAt {
@@ -44,7 +53,7 @@
 		return true
 	}
 	if s.now >= knownFrom {
-		s.markPending(server)
+		s.askPlace(server)
 	}
 	return !s.fleet.TrafficStarted && p.term == firstTerm
 }
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -91,8 +91,10 @@
 	// failures holds the servers that failed to carry out an order.
 	failures map[string]failure
 	// pending are servers that have not reported the effect of an order yet.
-	pending   []site.Server
-	steppedAt time.Duration
+	pending []site.Server
+	// unconfirmed are servers whose places are not known.
+	unconfirmed []site.Server
+	steppedAt   time.Duration
 	// serverCount is the number of servers in the last step, serverCountGrewAt when it last grew.
 	serverCount       int
 	serverCountGrewAt time.Duration
@@ -255,7 +257,7 @@
 
 // Step returns the orders to send at now.
 func (p *Planner) Step(now time.Duration, f Fleet) []Order {
-	p.steppedAt, p.pending = now, nil
+	p.steppedAt, p.pending, p.unconfirmed = now, nil, nil
 	if len(f.Engine.Models) == 0 {
 		// The sizes of replicas are unknown without the models.
 		return nil
--- a/coordination/formation/tend.go
+++ b/coordination/formation/tend.go
@@ -58,7 +58,7 @@
 		case known && server.Born == last.born && epoch < last.member.Epoch && !s.outdated(id, last):
 			server.Member = last.member
 			s.fleet.Servers[id] = server
-			s.markPending(server)
+			s.askPlace(server)
 		case epoch >= p.term*epochsPerTerm && epoch > p.leaveOrdered[id]:
 			p.seen[id] = seenMember{member: server.Member, born: server.Born, at: s.now}
 		default:
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornrock/hawthornrock/coordination/notice"
+	"github.com/hawthornrock/hawthornrock/platform"
 	"github.com/hawthornrock/hawthornrock/state/site"
 	"github.com/hawthornrock/hawthornrock/transport/clock"
 )
@@ -20,10 +21,11 @@
 	maxAnnouncements = 512
 )
 
-// A serverReport is a server's report of itself, for which it was asked at askedAt.
+// A serverReport is a server's report of itself, for which it was asked at askedAt. current means that it can't be an earlier one.
 type serverReport struct {
 	server  site.Server
 	askedAt time.Duration
+	current bool
 }
 
 // A replicaChange is a replica that started serving, or that stopped if it has no members. Members
@@ -42,11 +44,20 @@
 // list.
 func (c *controller) pollAwaitedServers(now time.Duration) {
 	l := &c.leadership
+	for _, s := range l.planner.UnconfirmedServers() {
+		if !c.pollDue(now, s.ID) {
+			continue
+		}
+		if !l.reportPolls.Allow(now) {
+			return
+		}
+		c.pollPlace(now, s)
+	}
 	pending := l.planner.PendingServers()
 	// Those that were polled longest ago come first.
 	slices.SortStableFunc(pending, func(a, b site.Server) int { return cmp.Compare(l.polledAt[a.ID], l.polledAt[b.ID]) })
 	for _, s := range pending {
-		if at, ok := l.polledAt[s.ID]; ok && now-at < reportPollInterval {
+		if !c.pollDue(now, s.ID) {
 			continue
 		}
 		if !l.reportPolls.Allow(now) {
@@ -57,6 +68,19 @@
 	}
 }
 
+// pollDue returns whether the server with the given id may be polled again.
+func (c *controller) pollDue(now time.Duration, id string) bool {
+	at, ok := c.leadership.polledAt[id]
+	return !ok || now-at >= reportPollInterval
+}
+
+// pollPlace asks s where it is, for the planner.
+func (c *controller) pollPlace(now time.Duration, s site.Server) {
+	c.leadership.polledAt[s.ID] = now
+	c.gateway.metrics.events.Add("places_asked", 1)
+	c.gateway.startPoll(c.gateway.placeEngines, s)
+}
+
 // reportPollsPerSecond bounds the polls of a leader, and maxReportPolls those at once: a tenth of the processor of the
 // smallest instances that are hubs. While hundreds of servers join at the same time, each is polled less often.
 const (
@@ -65,20 +89,23 @@
 )
 
 // pollReport asks s for its report, for the controller.
-func (g *Gateway) pollReport(s site.Server) {
+func (g *Gateway) pollReport(s site.Server) { g.startPoll(g.engines, s) }
+
+// startPoll asks s for its report with engines, for the controller.
+func (g *Gateway) startPoll(engines *platform.EngineClient, s site.Server) {
 	g.work.Go(context.Background(), "report", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		g.metrics.events.Add("probes", 1)
 		askedAt := clock.Boot()
-		report, err := g.engines.Report(ctx, s)
+		report, err := engines.Report(ctx, s)
 		if err != nil {
 			// The list shows the change later, and other probes determine whether the server is
 			// alive.
 			g.metrics.events.Add("reports_failed", 1)
 			return nil
 		}
-		g.enqueue(serverReport{server: report, askedAt: askedAt})
+		g.enqueue(serverReport{server: report, askedAt: askedAt, current: engines == g.placeEngines})
 		return nil
 	})
 }
@@ -119,7 +146,7 @@
 		c.gateway.logger.Info().Str("event", "server_pace").Str("server", m.server.ID).Str("group", m.server.Member.Group).Float64("pace", m.server.Pace).
 			Msg("server became slow or ceased to be slow")
 	}
-	if c.leadership.planner != nil {
+	if m.current && c.leadership.planner != nil {
 		c.leadership.planner.RecordReport(m.askedAt, m.server)
 	}
 	c.dirty = c.servers.update(now, m.server.ID, m.server.Born, m.server.Member) || c.dirty
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,10 +41,12 @@
 	monitor     *invariant.Monitor
 	metrics     *metrics
 
-	store      *platform.Store
-	engines    *platform.EngineClient
-	links      *link.Counters
-	peerClient *http.Client
+	store   *platform.Store
+	engines *platform.EngineClient
+	// placeEngines sends each request on a connection of its own, so that no earlier report counts.
+	placeEngines *platform.EngineClient
+	links        *link.Counters
+	peerClient   *http.Client
 	// secret is the secret that peers must present to send statuses to this daemon.
 	secret string
 	// previousSecret is the secret of the previous incarnation of this daemon. Peers use it until
@@ -130,6 +132,7 @@
 	g.pooledTransport = g.newServerTransport(g.dialServer, false)
 	orders := g.newServerTransport(g.dialForOrder, false)
 	g.engines = &platform.EngineClient{HTTP: &http.Client{Transport: orders, Timeout: orderTimeout}}
+	g.placeEngines = &platform.EngineClient{HTTP: &http.Client{Transport: g.newServerTransport(g.dialForOrder, true), Timeout: orderTimeout}}
 	g.monitor = &invariant.Monitor{OnViolation: func(p invariant.Name, message string) {
 		logger.Error().Str("event", "invariant_violated").Str("promise", string(p)).Msg(message)
 	}}
--- a/gateway/probes.go
+++ b/gateway/probes.go
@@ -149,7 +149,7 @@
 			began := clock.Boot()
 			finding, report := g.probeServer(ctx, s)
 			if finding == probeAlive {
-				g.enqueue(serverReport{server: report, askedAt: began})
+				g.enqueue(serverReport{server: report})
 			}
 			if finding != probeAlive {
 				// Other hubs probe for just as long, and their results may still be in flight.
