--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -188,8 +188,8 @@
 
 // updateHead updates the record of the head of group from its list entry.
 func (s *step) updateHead(group string, server site.Server) {
-	_, known := s.planner.heads[group]
 	h := s.head(group)
+	known := h.server.ID != ""
 	was, is := h.server.Member.State, server.Member.State
 	reopened := false
 	switch {
@@ -212,6 +212,8 @@
 	if reopened {
 		s.planner.recordContradiction(s.now, h)
 		h.closedAt = 0
+		// The list may only lag behind the answer to the order to stop, so that the head is asked again at once.
+		delete(s.planner.sentOrders, orderKey(server.ID, Preempt, group))
 	}
 }
 
@@ -306,7 +308,9 @@
 	// that are carried out late.
 	elsewhere := listed.Member.Epoch > h.server.Member.Epoch ||
 		listed.Member.Group != group && ok && s.confirmPlace(listed) && (listed.Member.State != site.Unassigned || !h.mayOpenLate(s.now))
-	restartedOrMoved := ok && h.server.ID != "" && (listed.Born != h.server.Born || elsewhere)
+	// A start after the one that is listed may have joined and opened this replica again.
+	restarted := ok && listed.Born != h.server.Born && s.confirmPlace(listed)
+	restartedOrMoved := ok && h.server.ID != "" && (restarted || elsewhere)
 	return restartedOrMoved || !h.openPending && !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
 }
 
--- a/coordination/formation/scale_test.go
+++ b/coordination/formation/scale_test.go
@@ -733,6 +733,29 @@
 	}
 }
 
+// TestHeadListedAfterItsMembers guards against a new leader that takes a head for closed which it sees for the first time after
+// its members, ready as it was before it opened, when one of them is lost.
+func TestHeadListedAfterItsMembers(t *testing.T) {
+	sim := newScaleSimulation(t, 1, "small")
+	for n := range 8 {
+		name := fmt.Sprintf("new-%d", n)
+		sim.actual[name] = site.Server{ID: name, Address: name, FailureDomain: "zone", FabricDomain: "d0", Born: 1, Staged: []string{"small"}}
+	}
+	sim.advanceToOrder(formation.Open, "new-0")
+	sim.advance(scaleEngine.Form)
+	sim.maxLag, sim.writeLag["new-0"] = 2*time.Second, 2*time.Second
+	sim.replaceLeader(0)
+	countAsDead(sim.simulation, "new-0")
+	countAsDead(sim.simulation, "new-1")
+	for taken := sim.now; sim.fleet.Servers["new-0"].Member.State != site.Ready; {
+		require.Less(t, sim.now-taken, sim.maxLag, "the list should show the head ready")
+		sim.advance(step)
+	}
+	delete(sim.fleet.Dead, "new-0")
+	sim.advance(3 * time.Second)
+	sim.requireRule(t)
+}
+
 // testRandomScale checks that random histories with what k holds do not break the rule TWO.
 func testRandomScale(t *testing.T, k scaleKinds) {
 	t.Helper()
@@ -770,3 +793,10 @@
 func TestRandomLeadersWithOldLists(t *testing.T) {
 	testRandomScale(t, scaleKinds{leaders: true, lags: true, maxLag: longLag, drains: true})
 }
+
+// TestRandomEverythingAtScale guards against all of these together but second answers.
+func TestRandomEverythingAtScale(t *testing.T) {
+	testRandomScale(t, scaleKinds{
+		unsent: true, late: true, waits: true, lags: true, maxLag: longLag, leaders: true, cuts: true, drains: true, restarts: true,
+	})
+}
--- a/coordination/formation/succeed.go
+++ b/coordination/formation/succeed.go
@@ -63,6 +63,11 @@
 	if _, held := s.planner.held[server.ID]; held || s.mayReopen(server) {
 		return false
 	}
+	// The list may have gone back since the replica was planned. An order that is repeated relies on the place of before.
+	f, forming := s.planner.forming[name]
+	if repeated := forming && s.planner.highestEpoch[server.ID] == f.epoch; !repeated && server.Member.Group != name && !s.confirmPlace(server) {
+		return false
+	}
 	if server.Member.State == site.Unassigned || server.Member.Group == name {
 		return true
 	}
