--- a/coordination/formation/forget.go
+++ b/coordination/formation/forget.go
@@ -18,6 +18,7 @@
 	maps.DeleteFunc(p.sentJoins, func(_ string, j sentJoin) bool { return s.now-j.at >= maxOrderDelay })
 	maps.DeleteFunc(p.seen, func(id string, _ seenMember) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.reported, func(id string, _ reportedPlace) bool { _, listed := s.fleet.Servers[id]; return !listed })
+	maps.DeleteFunc(p.placeAsks, func(id string, _ placeAsk) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.movedAt, func(id string, _ time.Duration) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.leaveOrdered, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
 	maps.DeleteFunc(p.highestEpoch, func(id string, _ int64) bool { _, listed := s.fleet.Servers[id]; return !listed })
--- a/coordination/formation/head.go
+++ b/coordination/formation/head.go
@@ -32,9 +32,9 @@
 	// openUnansweredAt is when an order to open last had no answer.
 	openOrderedAt    time.Duration
 	openUnansweredAt time.Duration
-	// openPending means that the last order to open is on its way. openSettledAt is from when on an order to stop, sent
+	// opensOnTheWay is the number of orders to open without an answer yet. openSettledAt is from when on an order to stop, sent
 	// then, does not reach the head while it forms its replica for an order to open: what it answers sooner does not hold.
-	openPending   bool
+	opensOnTheWay int
 	openSettledAt time.Duration
 	// closedAt is when the head was known to have stopped serving. It is zero if the head was ordered to open or listed as
 	// open since. Times cannot show which came first: the list may show the close in the step that orders to open.
@@ -61,7 +61,7 @@
 
 // mayServe returns whether h may be serving at now, given the state in which it is listed.
 func (h *head) mayServe(now time.Duration, listed site.MemberState) bool {
-	if h.openPending || h.mayOpenLate(now) {
+	if h.opensOnTheWay > 0 || h.mayOpenLate(now) {
 		return true
 	}
 	stopped := h.closedAt > 0
@@ -84,17 +84,18 @@
 
 // opening returns whether h may have been forming its replica at a time, or be ordered to. Its answer to an order to preempt
 // that was sent then does not hold for the time after.
-func (h *head) opening(at time.Duration) bool { return h.openPending || at < h.openSettledAt }
+func (h *head) opening(at time.Duration) bool { return h.opensOnTheWay > 0 || at < h.openSettledAt }
 
 // recordOpenOrder records that h was ordered to open, to form its replica in formTime.
 func (h *head) recordOpenOrder(now, formTime time.Duration) {
 	h.openOrderedAt, h.closedAt, h.closeOrdered, h.listedClosed = now, 0, false, false
-	h.openPending, h.openSettledAt = true, now+formTime+openMargin
+	h.opensOnTheWay++
+	h.openSettledAt = now + formTime + openMargin
 }
 
-// recordOpenAnswer records the answer to the last order to open h.
+// recordOpenAnswer records the answer to an order to open h.
 func (h *head) recordOpenAnswer(now, formTime time.Duration, a Answer) {
-	if h.openPending = false; a == Accepted {
+	if h.opensOnTheWay--; a == Accepted {
 		h.openSettledAt = now + formTime + formMargin
 	}
 }
@@ -103,9 +104,6 @@
 // may make h join its replica again.
 func (p *Planner) recordHeadAnswer(now time.Duration, h *head, o Order, a Answer, mayRejoin bool) {
 	h.absent = h.absent || a == Absent
-	if o.Action == Open && o.SentAt == h.openOrderedAt {
-		h.recordOpenAnswer(now, p.formTime, a)
-	}
 	if o.SentAt < h.openOrderedAt && a != Unknown {
 		// The head was ordered to open since, and the answer says nothing about that.
 		return
@@ -311,15 +309,21 @@
 	// A start after the one that is listed may have joined and opened this replica again.
 	restarted := ok && listed.Born != h.server.Born && s.confirmPlace(listed)
 	restartedOrMoved := ok && h.server.ID != "" && (restarted || elsewhere)
-	return restartedOrMoved || !h.openPending && !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
+	return restartedOrMoved || h.opensOnTheWay == 0 && !h.mayOpenLate(s.now) && h.closedAt > 0 && s.now-h.closedAt > closeTime
 }
 
-// mayReopen returns whether server, which left a replica whose head it was, may join and open it
-// again by orders that are carried out late.
+// mayReopen returns whether server, which left a replica, may join it again by an order that is carried out late, while the head
+// of that replica may serve: server itself, which may also be opened late, or another one.
 func (s *step) mayReopen(server site.Server) bool {
 	l := s.planner.unansweredJoins[server.ID]
 	h, ok := s.planner.heads[l.group]
-	return ok && h.server.ID == server.ID && server.Member.Epoch <= l.epoch && l.mayTakeEffect(s.now) && h.mayOpenLate(s.now)
+	if !ok || server.Member.Epoch > l.epoch || !l.mayTakeEffect(s.now) {
+		return false
+	}
+	if h.server.ID == server.ID {
+		return h.mayOpenLate(s.now)
+	}
+	return server.Member.Group != l.group && h.openOrderedAt > 0 && !s.knownClosed(l.group)
 }
 
 // HeadsToProbe returns the unlisted heads and those that servers are held for. The leader has to
--- a/coordination/formation/place.go
+++ b/coordination/formation/place.go
@@ -23,9 +23,32 @@
 // that can't be earlier ones.
 func (p *Planner) UnconfirmedServers() []site.Server { return p.unconfirmed }
 
+// A placeAsk is how often a server was asked where it is in a row, and when it may be asked next.
+type placeAsk struct {
+	count  int
+	nextAt time.Duration
+}
+
+const (
+	// firstAskPause is the time to the second question to a server where it is, a few round trips. It doubles with each one, up
+	// to maxAskPause, so that servers that can't be asked cost little.
+	firstAskPause = 100 * time.Millisecond
+	maxAskPause   = 3200 * time.Millisecond
+	// maxAskDoublings is the number of doublings that reach maxAskPause.
+	maxAskDoublings = 5
+)
+
 // askPlace makes server one of those to be asked where they are.
 func (s *step) askPlace(server site.Server) {
-	s.planner.unconfirmed = append(s.planner.unconfirmed, server)
+	p := s.planner
+	ask := p.placeAsks[server.ID]
+	if s.now < ask.nextAt {
+		return
+	}
+	ask.nextAt = s.now + min(firstAskPause<<min(ask.count, maxAskDoublings), maxAskPause)
+	ask.count++
+	p.placeAsks[server.ID] = ask
+	p.unconfirmed = append(p.unconfirmed, server)
 }
 
 // RecordReport records the report of a server that was asked for it at askedAt.
@@ -50,6 +73,7 @@
 	}
 	knownFrom := max(moved, p.termStart) + reportLag
 	if r, ok := p.reported[server.ID]; ok && r.askedAt >= knownFrom && r.born == server.Born && r.member.Group == m.Group && r.member.Epoch == m.Epoch {
+		delete(p.placeAsks, server.ID)
 		return true
 	}
 	if s.now >= knownFrom {
--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -61,15 +61,17 @@
 	// model.
 	retired   map[string]*retirement
 	retiredAt time.Duration
-	// unansweredJoins are the orders to join that may still be carried out, by server, and sentJoins the last ones that are
-	// on their way or were accepted.
+	// unansweredJoins are the orders to join that may still be carried out, by server, and sentJoins those that are on their
+	// way or were accepted.
 	unansweredJoins map[string]unansweredJoin
 	sentJoins       map[string]sentJoin
 	// left holds the replica that each server last accepted to leave, other than as its head, until the list shows it.
 	left map[string]leftReplica
-	// reported holds what servers reported of their places, and movedAt when each was last ordered to join or leave.
-	reported map[string]reportedPlace
-	movedAt  map[string]time.Duration
+	// reported holds what servers reported of their places, placeAsks how often each was asked without a report that shows it,
+	// and movedAt when each was last ordered to join or leave.
+	reported  map[string]reportedPlace
+	placeAsks map[string]placeAsk
+	movedAt   map[string]time.Duration
 	// seen holds the replica of this term in which each server was last listed, unless it was ordered to leave it, and
 	// leaveOrdered the epoch of the last replica that each server was ordered to leave.
 	seen         map[string]seenMember
@@ -114,10 +116,32 @@
 	at    time.Duration
 }
 
-// A sentJoin is the epoch of an order to join that was sent, and was not refused, and when it was sent or accepted.
+// A sentJoin sums up the orders to join that a server was sent: the highest epoch of those that are on their way or were accepted,
+// and when one was last sent or accepted. Some of them may be late.
 type sentJoin struct {
-	epoch int64
-	at    time.Duration
+	epoch    int64
+	onTheWay int
+	accepted bool
+	at       time.Duration
+}
+
+// sent returns j with another order on its way.
+func (j sentJoin) sent(now time.Duration, epoch int64) sentJoin {
+	if epoch > j.epoch {
+		j.epoch, j.accepted = epoch, false
+	}
+	j.onTheWay++
+	j.at = now
+	return j
+}
+
+// answered returns j with one order less on its way, and whether it still matters.
+func (j sentJoin) answered(now time.Duration, epoch int64, a Answer) (sentJoin, bool) {
+	j.onTheWay--
+	if a == Accepted {
+		j.at, j.accepted = now, j.accepted || epoch == j.epoch
+	}
+	return j, j.onTheWay > 0 || j.accepted
 }
 
 // A leftReplica is a replica that a server has left, as it answered at a time.
@@ -152,7 +176,7 @@
 		sentOrders: make(map[string]sentOrder), loading: make(map[string]load), held: make(map[string]hold),
 		retired: make(map[string]*retirement), unansweredJoins: make(map[string]unansweredJoin), sentJoins: make(map[string]sentJoin), serverCountGrewAt: now,
 		servingMembers: make(map[string][]string), losses: make(map[string]*loss), highestEpoch: make(map[string]int64), successorOrdered: make(map[string]bool), failures: make(map[string]failure), left: make(map[string]leftReplica),
-		reported: make(map[string]reportedPlace), movedAt: make(map[string]time.Duration), seen: make(map[string]seenMember), leaveOrdered: make(map[string]int64),
+		reported: make(map[string]reportedPlace), placeAsks: make(map[string]placeAsk), movedAt: make(map[string]time.Duration), seen: make(map[string]seenMember), leaveOrdered: make(map[string]int64),
 	}
 }
 
@@ -165,10 +189,13 @@
 // RecordAnswer records the answer to an order that Step returned.
 func (p *Planner) RecordAnswer(now time.Duration, o Order, a Answer) {
 	if a == Unsent {
-		p.recordUnsent(o)
+		p.recordUnsent(now, o)
 		return
 	}
 	soon := a == Unknown && o.Action != Stage
+	if h, ok := p.heads[o.Group]; ok && o.Action == Open && h.opensOnTheWay > 0 {
+		h.recordOpenAnswer(now, p.formTime, a)
+	}
 	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
 		opening := o.Action == Preempt && h.opening(o.SentAt)
 		if !opening || a == Absent {
@@ -203,18 +230,16 @@
 }
 
 // recordUnsent records that o was not sent, so that the next step may order it again.
-func (p *Planner) recordUnsent(o Order) {
+func (p *Planner) recordUnsent(now time.Duration, o Order) {
 	delete(p.sentOrders, orderKey(o.Server, o.Action, o.Group))
-	if h, ok := p.heads[o.Group]; ok && o.Action == Open && o.SentAt == h.openOrderedAt {
-		h.openPending = false
+	if h, ok := p.heads[o.Group]; ok && o.Action == Open && h.opensOnTheWay > 0 {
+		h.recordOpenAnswer(now, p.formTime, Unsent)
 	}
 	switch o.Action {
 	case Stage:
 		delete(p.loading, o.Server)
 	case Join:
-		if p.sentJoins[o.Server].epoch == o.Epoch {
-			delete(p.sentJoins, o.Server)
-		}
+		p.recordSentJoin(now, o, Unsent)
 	case Open, Close, Preempt, Leave:
 	}
 }
@@ -227,17 +252,24 @@
 	return a == Fenced && (o.Action != Join || known && o.Epoch >= highest)
 }
 
+// recordSentJoin records that o, an order to join, is no longer on its way.
+func (p *Planner) recordSentJoin(now time.Duration, o Order, a Answer) {
+	sent, ok := p.sentJoins[o.Server]
+	if !ok {
+		return
+	}
+	if sent, ok = sent.answered(now, o.Epoch, a); ok {
+		p.sentJoins[o.Server] = sent
+	} else {
+		delete(p.sentJoins, o.Server)
+	}
+}
+
 // recordJoinAnswer records whether an order to join may still be carried out late. A server that
 // has accepted an order with a higher epoch refuses it; one with the same epoch has no effect as
 // long as the server does not leave.
 func (p *Planner) recordJoinAnswer(now time.Duration, o Order, a Answer) {
-	if sent := p.sentJoins[o.Server]; sent.epoch == o.Epoch {
-		if sent.at = now; a == Accepted {
-			p.sentJoins[o.Server] = sent
-		} else {
-			delete(p.sentJoins, o.Server)
-		}
-	}
+	p.recordSentJoin(now, o, a)
 	unanswered := p.unansweredJoins[o.Server]
 	switch {
 	case a == Unknown && o.Epoch >= unanswered.epoch:
@@ -334,6 +366,7 @@
 	s.planner.sentOrders[key] = sentOrder{at: s.now}
 	if o.Action == Join || o.Action == Leave {
 		s.planner.movedAt[o.Server] = s.now
+		delete(s.planner.placeAsks, o.Server)
 	}
 	if o.Action == Leave {
 		s.planner.leaveOrdered[o.Server] = max(o.Epoch, s.planner.leaveOrdered[o.Server])
@@ -341,7 +374,7 @@
 	}
 	if o.Action == Join {
 		s.planner.highestEpoch[o.Server] = max(o.Epoch, s.planner.highestEpoch[o.Server])
-		s.planner.sentJoins[o.Server] = sentJoin{epoch: o.Epoch, at: s.now}
+		s.planner.sentJoins[o.Server] = s.planner.sentJoins[o.Server].sent(s.now, o.Epoch)
 	}
 	if isBulk {
 		s.bulk++
--- a/coordination/formation/scale_test.go
+++ b/coordination/formation/scale_test.go
@@ -794,9 +794,115 @@
 	testRandomScale(t, scaleKinds{leaders: true, lags: true, maxLag: longLag, drains: true})
 }
 
+// TestTwoJoinsOnTheirWay guards against an order to join that is forgotten, while it is on its way, as the next one to the same server
+// is not sent or refused: its old replica is opened again, and it arrives.
+func TestTwoJoinsOnTheirWay(t *testing.T) {
+	for _, second := range []string{"unsent", "refused", "lost"} {
+		for doubt := 14; doubt <= 18; doubt++ {
+			t.Run(fmt.Sprint(second, "_", doubt), func(t *testing.T) {
+				sim := newScaleSimulation(t, 1, "small")
+				head, others := sim.head("small")
+				sim.readLag, sim.maxLag = listLag, listLag
+				joins := make(map[string]int)
+				sim.fate = func(o formation.Order) fate {
+					if o.Action != formation.Join {
+						return fate{}
+					}
+					if joins[o.Server]++; joins[o.Server] == 1 {
+						return fate{wait: 16 * step, late: 6 * step}
+					}
+					if second == "refused" {
+						sim.refusing[o.Server] = true
+						sim.after(step, func() { delete(sim.refusing, o.Server) })
+					}
+					return fate{unsent: second == "unsent", lost: second == "lost"}
+				}
+				countAsDead(sim.simulation, others[0])
+				sim.advanceToOrder(formation.Join, head)
+				sim.advance(time.Duration(doubt) * step)
+				delete(sim.fleet.Dead, others[0])
+				sim.advance(6 * time.Second)
+				sim.requireRule(t)
+			})
+		}
+	}
+}
+
+// TestRandomBusyLeader guards against orders of all kinds that wait at a leader without processor time, or are late or not sent.
+func TestRandomBusyLeader(t *testing.T) {
+	testRandomWaits(t, scaleKinds{unsent: true, late: true, lags: true, maxLag: listLag}, false)
+}
+
+// TestRandomReforms guards against replicas that are formed anew, or retired, for slow members and demand, by leaders with old lists.
+func TestRandomReforms(t *testing.T) {
+	testRandomWaits(t, scaleKinds{leaders: true, lags: true, maxLag: longLag, drains: true}, true)
+}
+
+// testRandomWaits is testRandomScale with orders that wait at the leader for up to its lease, and with reforms with slow servers and
+// changes of demand.
+func testRandomWaits(t *testing.T, k scaleKinds, reforms bool) {
+	t.Helper()
+	histories.Limit(t, scaleHistories)
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newScaleSimulation(t, 1, rapid.SampledFrom([]string{"large", "small"}).Draw(rt, "spares"))
+		sim.maxLag = k.maxLag
+		base := k.fates(rapid.Uint64().Draw(rt, "fates"), rapid.SampledFrom([]int{0, 5, 20, 50}).Draw(rt, "share"))
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "waits"), 1))
+		sim.fate = func(o formation.Order) fate {
+			f := base(o)
+			if !f.unsent && r.IntN(3) == 0 {
+				f.wait, f.late = time.Duration(r.IntN(17))*step, f.late+time.Duration(r.IntN(7))*step
+			}
+			return f
+		}
+		sim.readLag = drawTenths(rt, "lag", 0, k.maxLag)
+		for n := range rapid.IntRange(1, 20).Draw(rt, "events") {
+			if reforms && rapid.IntRange(0, 3).Draw(rt, "pace") == 0 {
+				sim.fleet.Pace = map[string]float64{sim.drawServer(rt): 5}
+			}
+			if reforms && rapid.IntRange(0, 3).Draw(rt, "demand") == 0 {
+				sim.fleet.Demand = map[string]float64{"large": rapid.Float64Range(0.1, 10).Draw(rt, "large"), "small": rapid.Float64Range(0.1, 10).Draw(rt, "small")}
+			}
+			sim.drawEvent(rt, k, n)
+		}
+		sim.advance(5 * time.Second)
+		sim.requireRule(rt)
+	})
+}
+
 // TestRandomEverythingAtScale guards against all of these together but second answers.
 func TestRandomEverythingAtScale(t *testing.T) {
 	testRandomScale(t, scaleKinds{
 		unsent: true, late: true, waits: true, lags: true, maxLag: longLag, leaders: true, cuts: true, drains: true, restarts: true,
 	})
 }
+
+// TestJoinAfterALeave guards against an order to join without an answer that is carried out when its server has left that
+// replica, as its head refuses connections: it is in it again, and joins another one while the head is open.
+func TestJoinAfterALeave(t *testing.T) {
+	sim := newScaleSimulation(t, 1, "small")
+	for n := range 8 {
+		name := fmt.Sprintf("new-%d", n)
+		sim.actual[name] = site.Server{ID: name, Address: name, FailureDomain: "zone", FabricDomain: "d0", Born: 1, Staged: []string{"small"}}
+	}
+	const late = 3 * time.Second
+	sim.advance(2 * step)
+	first := sim.now
+	sim.fate = func(o formation.Order) fate {
+		switch {
+		case o.Action == formation.Join && o.Server == "new-1" && o.SentAt <= first+2*step:
+			return fate{late: late}
+		case o.Action == formation.Join && o.SentAt > first+2*time.Second:
+			return fate{wait: 8 * step}
+		}
+		return fate{}
+	}
+	sim.advanceToOrder(formation.Open, "new-0")
+	sim.advance(first + late - 3*step - sim.now)
+	sim.refusing["new-0"] = true
+	countAsDead(sim.simulation, "new-2")
+	sim.advanceToOrder(formation.Preempt, "new-0")
+	countAsDead(sim.simulation, "new-0")
+	sim.advance(4 * time.Second)
+	sim.requireRule(t)
+}
