--- a/coordination/formation/planner.go
+++ b/coordination/formation/planner.go
@@ -192,19 +192,8 @@
 		p.recordUnsent(now, o)
 		return
 	}
-	soon := a == Unknown && o.Action != Stage
-	if h, ok := p.heads[o.Group]; ok && o.Action == Open && h.opensOnTheWay > 0 {
-		h.recordOpenAnswer(now, p.formTime, a)
-	}
-	if h, ok := p.heads[o.Group]; ok && h.server.ID == o.Server {
-		opening := o.Action == Preempt && h.opening(o.SentAt)
-		if !opening || a == Absent {
-			join := p.unansweredJoins[o.Server]
-			p.recordHeadAnswer(now, h, o, a, join.group == o.Group && join.mayTakeEffect(now))
-		}
-		soon = soon || opening
-	}
-	p.sentOrders[orderKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, resendSoon: soon}
+	opening := p.recordAnswerAboutHead(now, o, a)
+	p.sentOrders[orderKey(o.Server, o.Action, o.Group)] = sentOrder{at: now, resendSoon: opening || a == Unknown && o.Action != Stage}
 	if o.Action == Join {
 		p.recordJoinAnswer(now, o, a)
 		if h, ok := p.heads[o.Group]; ok && a == Accepted {
@@ -229,6 +218,27 @@
 	}
 }
 
+// recordAnswerAboutHead records what the answer to o says about the head of its replica, and returns whether it says nothing since
+// the head may have been opening.
+func (p *Planner) recordAnswerAboutHead(now time.Duration, o Order, a Answer) bool {
+	h, ok := p.heads[o.Group]
+	if !ok {
+		return false
+	}
+	if o.Action == Open && h.opensOnTheWay > 0 {
+		h.recordOpenAnswer(now, p.formTime, a)
+	}
+	if h.server.ID != o.Server {
+		return false
+	}
+	opening := o.Action == Preempt && h.opening(o.SentAt)
+	if !opening || a == Absent {
+		join := p.unansweredJoins[o.Server]
+		p.recordHeadAnswer(now, h, o, a, join.group == o.Group && join.mayTakeEffect(now))
+	}
+	return opening
+}
+
 // recordUnsent records that o was not sent, so that the next step may order it again.
 func (p *Planner) recordUnsent(now time.Duration, o Order) {
 	delete(p.sentOrders, orderKey(o.Server, o.Action, o.Group))
