--- a/coordination/formation/evidence_test.go
+++ b/coordination/formation/evidence_test.go
@@ -19,10 +19,7 @@
 	for _, steps := range []int{1, 3, 10} {
 		t.Run(fmt.Sprint(steps), func(t *testing.T) {
 			unsentTime := time.Duration(steps) * step
-			sim := newSimulation(t, 1, 5)
-			sim.run(8 * time.Second)
-			sim.stageIdle("large")
-			sim.fleet.TrafficStarted = true
+			sim := newServingSimulation(t, "large")
 			head, others := sim.head("large")
 			group := sim.actual[head].Member.Group
 			until := sim.now + unsentTime
@@ -46,10 +43,7 @@
 		shown site.MemberState
 	}{{"ready", site.Ready}, {"joining", site.Joining}} {
 		t.Run(tc.name, func(t *testing.T) {
-			sim := newSimulation(t, 1, 5)
-			sim.run(8 * time.Second)
-			sim.stageIdle("large")
-			sim.fleet.TrafficStarted = true
+			sim := newServingSimulation(t, "large")
 			head, others := sim.head("large")
 			sim.unanswered = func(o formation.Order) bool { return o.Action == formation.Preempt }
 			countAsDead(sim, others[0])
@@ -83,9 +77,7 @@
 		{"in_none_before_callers_come", "", site.Unassigned, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			sim := newSimulation(t, 1, 5)
-			sim.run(8 * time.Second)
-			sim.stageIdle("small")
+			sim := newServingSimulation(t, "small")
 			sim.fleet.TrafficStarted = tc.traffic
 			head, _ := sim.head("large")
 			sim.showEarlier(head, tc.group, tc.shown)
@@ -131,10 +123,8 @@
 		{"answer_is_late", 0, time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			sim := newSimulation(t, 1, 5)
-			sim.run(8 * time.Second)
-			sim.stageIdle("large")
-			sim.fleet.TrafficStarted, sim.formTime = true, engine.Form
+			sim := newServingSimulation(t, "large")
+			sim.formTime = engine.Form
 			head, others := sim.head("large")
 			countAsDead(sim, others[0])
 			for sim.fleet.Servers[head].Member.State == site.Open {
@@ -157,6 +147,16 @@
 	}
 }
 
+// newServingSimulation returns a simulation of one fabric domain with a large replica that serves and a server that belongs to none
+// and has spare on its host, under traffic.
+func newServingSimulation(t *testing.T, spare string) *simulation {
+	sim := newSimulation(t, 1, 5)
+	sim.run(8 * time.Second)
+	sim.stageIdle(spare)
+	sim.fleet.TrafficStarted = true
+	return sim
+}
+
 // showEarlier makes the list show a server as it was in a replica before, with the small model on its host.
 func (sim *simulation) showEarlier(id, group string, state site.MemberState) {
 	s := sim.actual[id]
