--- a/coordination/formation/evidence_test.go
+++ b/coordination/formation/evidence_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hawthornrock/hawthornrock/coordination/formation"
+	"github.com/hawthornrock/hawthornrock/coordination/histories"
 	"github.com/hawthornrock/hawthornrock/state/site"
 )
 
@@ -172,6 +173,7 @@
 // TestRandomDeliveries guards against servers in two open replicas (TWO) when orders take their time to arrive and overtake each
 // other, as a slow leader sends them, while members count as dead and are doubted to be.
 func TestRandomDeliveries(t *testing.T) {
+	histories.Limit(t, scaleHistories)
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := newSimulation(t, 2, rapid.IntRange(8, 9).Draw(rt, "size"))
 		sim.run(8 * time.Second)
