--- a/coordination/formation/head_test.go
+++ b/coordination/formation/head_test.go
@@ -62,10 +62,7 @@
 		}, 12 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			sim := newSimulation(t, 1, 5)
-			sim.run(8 * time.Second)
-			sim.stageIdle("large")
-			sim.fleet.TrafficStarted = true
+			sim := newServingSimulation(t, "large")
 			head, others := sim.head("large")
 			group := sim.actual[head].Member.Group
 			sim.fleet.Dead[head], sim.lag = true, 3*time.Second
@@ -228,10 +225,7 @@
 // TestHeadThatTheListShowsReadyAgain guards against taking a list that lags for the news of a close: a head has reported that it
 // is open, and then the list shows an earlier entry.
 func TestHeadThatTheListShowsReadyAgain(t *testing.T) {
-	sim := newSimulation(t, 1, 5)
-	sim.run(8 * time.Second)
-	sim.stageIdle("large")
-	sim.fleet.TrafficStarted = true
+	sim := newServingSimulation(t, "large")
 	head, others := sim.head("large")
 	group := sim.actual[head].Member.Group
 	earlier := sim.actual[head]
--- a/gateway/changes.go
+++ b/gateway/changes.go
@@ -45,40 +45,29 @@
 func (c *controller) pollAwaitedServers(now time.Duration) {
 	l := &c.leadership
 	for _, s := range l.planner.UnconfirmedServers() {
-		if !c.pollDue(now, s.ID) {
-			continue
-		}
-		if !l.reportPolls.Allow(now) {
-			return
+		if c.takePoll(now, s.ID) {
+			c.gateway.metrics.events.Add("places_asked", 1)
+			c.gateway.startPoll(c.gateway.placeEngines, s)
 		}
-		c.pollPlace(now, s)
 	}
 	pending := l.planner.PendingServers()
 	// Those that were polled longest ago come first.
 	slices.SortStableFunc(pending, func(a, b site.Server) int { return cmp.Compare(l.polledAt[a.ID], l.polledAt[b.ID]) })
 	for _, s := range pending {
-		if !c.pollDue(now, s.ID) {
-			continue
-		}
-		if !l.reportPolls.Allow(now) {
-			return
+		if c.takePoll(now, s.ID) {
+			c.gateway.pollReport(s)
 		}
-		l.polledAt[s.ID] = now
-		c.gateway.pollReport(s)
 	}
 }
 
-// pollDue returns whether the server with the given id may be polled again.
-func (c *controller) pollDue(now time.Duration, id string) bool {
-	at, ok := c.leadership.polledAt[id]
-	return !ok || now-at >= reportPollInterval
-}
-
-// pollPlace asks s where it is, for the planner.
-func (c *controller) pollPlace(now time.Duration, s site.Server) {
-	c.leadership.polledAt[s.ID] = now
-	c.gateway.metrics.events.Add("places_asked", 1)
-	c.gateway.startPoll(c.gateway.placeEngines, s)
+// takePoll returns whether the server with the given id may be polled again now, and records that it is.
+func (c *controller) takePoll(now time.Duration, id string) bool {
+	l := &c.leadership
+	if at, ok := l.polledAt[id]; ok && now-at < reportPollInterval || !l.reportPolls.Allow(now) {
+		return false
+	}
+	l.polledAt[id] = now
+	return true
 }
 
 // reportPollsPerSecond bounds the polls of a leader, and maxReportPolls those at once: a tenth of the processor of the
